--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/EntryCommand.java
@@ -0,0 +1,31 @@
+package org.jackdawsaddle.pgm;
+
+import org.jackdawsaddle.EntryService;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.store.HttpStoreClient;
+import org.jackdawsaddle.settings.EntrySettings;
+import org.jackdawsaddle.settings.SettingsReader;
+import picocli.CommandLine.Command;
+
+/** Runs an entry. */
+@Command(
+        name = "entry",
+        mixinStandardHelpOptions = true,
+        description = "Runs an entry until SIGTERM.")
+final class EntryCommand extends ServiceCommand<EntrySettings> {
+
+    EntryCommand() {
+        super(SettingsReader.entry());
+    }
+
+    @Override
+    protected ManagedService create(EntrySettings settings) {
+        UnixClock clock = new UnixClock();
+        HttpCaller caller = new HttpCaller(clock, 1);
+        caller.start();
+        HttpStoreClient store = new HttpStoreClient(caller, settings.storeAddress(), clock);
+        return new EntryService(settings, store, clock);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -0,0 +1,72 @@
+package org.jackdawsaddle.pgm;
+
+import org.jackdawsaddle.errors.JackdawException;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command line: one subcommand for each role and for each task of an operator. */
+@Command(
+        name = "jackdawsaddle",
+        mixinStandardHelpOptions = true,
+        version = "jackdawsaddle 0.1.0",
+        description = "Dispatches sub-second tasks to targets of mixed age and speed.",
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {
+            "0:success",
+            "1:the answer is no: findings, a difference, a promise not held, a refusal",
+            "2:the command line or a settings file is not valid",
+            "3:an entry or the store cannot be reached"
+        },
+        subcommands = {
+            EntryCommand.class,
+            SidecarCommand.class,
+            StoreCommand.class,
+            TargetCommand.class,
+            DemoCommand.class,
+            AutoComplete.GenerateCompletion.class
+        })
+public final class Main {
+    /** The exit code of success. */
+    public static final int OK = 0;
+
+    /** The exit code of a negative answer. */
+    public static final int NEGATIVE = 1;
+
+    /** The exit code of a wrong command line or settings file. */
+    public static final int USAGE = 2;
+
+    /** The exit code where a process cannot be reached. */
+    public static final int UNREACHABLE = 3;
+
+    private Main() {}
+
+    /** Runs the command line and ends the process with its exit code. */
+    public static void main(String[] arguments) {
+        System.setProperty("org.jboss.logging.provider", "log4j2");
+        System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
+        System.exit(run(arguments));
+    }
+
+    /** Runs the command line and returns its exit code. */
+    public static int run(String... arguments) {
+        return new CommandLine(new Main())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setExecutionExceptionHandler(Main::onFailure)
+                .execute(arguments);
+    }
+
+    private static int onFailure(
+            Exception failure, CommandLine command, CommandLine.ParseResult result)
+            throws Exception {
+        if (!(failure instanceof JackdawException known)) {
+            throw failure;
+        }
+        command.getErr().println(known.getMessage());
+        return switch (known.errorCode()) {
+            case SETTINGS_INVALID, REQUEST_INVALID -> USAGE;
+            case STORE_UNAVAILABLE, OWNER_UNREACHABLE, TARGET_UNREACHABLE -> UNREACHABLE;
+            default -> NEGATIVE;
+        };
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ServiceCommand.java
@@ -0,0 +1,45 @@
+package org.jackdawsaddle.pgm;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.settings.SettingsReader;
+import picocli.CommandLine.Option;
+
+/** Base of the commands that run one process until it is asked to stop. */
+abstract class ServiceCommand<T> implements Callable<Integer> {
+    @Option(
+            names = {"-s", "--settings"},
+            required = true,
+            paramLabel = "FILE",
+            description = "The settings file, in JSON.")
+    private String mSettingsFile;
+
+    private final SettingsReader<T> mReader;
+
+    ServiceCommand(SettingsReader<T> reader) {
+        mReader = reader;
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        ManagedService service = create(mReader.read(mSettingsFile));
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread stop =
+                new Thread(
+                        () -> {
+                            service.stop();
+                            LogManager.shutdown();
+                            stopped.countDown();
+                        },
+                        "shutdown");
+        Runtime.getRuntime().addShutdownHook(stop);
+        service.start();
+        stopped.await();
+        return Main.OK;
+    }
+
+    /** Creates the process's service from its settings. */
+    protected abstract ManagedService create(T settings);
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/Deployment.java
@@ -0,0 +1,111 @@
+package org.jackdawsaddle.standin.fleet;
+
+import java.util.List;
+import org.jackdawsaddle.config.Demand;
+
+/** The two deployments of today, with their sizes. */
+public enum Deployment {
+    /** The bull hire ledger of Fjordhorn. */
+    FJORDHORN(
+            "ledger",
+            "fjordhorn",
+            "availability",
+            "hire",
+            "lookup",
+            List.of("bergen-a", "forde-b", "voss-c", "stord-d"),
+            new Demand(64, 262_144, 0)),
+    /** The course bookings of Quetzaltenango. */
+    QUETZALTENANGO(
+            "inscribe",
+            "talla-litica",
+            "seat-hold",
+            "injury-log",
+            "timetable",
+            List.of("xela-centro", "almolonga", "zunil", "cantel"),
+            new Demand(32, 65_536, 0));
+
+    private static final int TARGETS = 11;
+    private static final int SLOTS = 8;
+    private static final long TYPICAL_MILLIS = 300;
+    private static final long TIMEOUT_MILLIS = 30_000;
+
+    private final String mService;
+    private final String mTeam;
+    private final String mBatchKind;
+    private final String mWriteKind;
+    private final String mReadKind;
+    private final List<String> mDataCentres;
+    private final Demand mMachine;
+
+    Deployment(
+            String service,
+            String team,
+            String batchKind,
+            String writeKind,
+            String readKind,
+            List<String> dataCentres,
+            Demand machine) {
+        mService = service;
+        mTeam = team;
+        mBatchKind = batchKind;
+        mWriteKind = writeKind;
+        mReadKind = readKind;
+        mDataCentres = dataCentres;
+        mMachine = machine;
+    }
+
+    /** Returns the service that the targets run. */
+    public String service() {
+        return mService;
+    }
+
+    /** Returns the team that submits. */
+    public String team() {
+        return mTeam;
+    }
+
+    /** Returns the kind of jobs of many tasks. */
+    public String batchKind() {
+        return mBatchKind;
+    }
+
+    /** Returns the kind of single requests that must not run twice. */
+    public String writeKind() {
+        return mWriteKind;
+    }
+
+    /** Returns the kind of single requests that may be retried. */
+    public String readKind() {
+        return mReadKind;
+    }
+
+    /** Returns the data centres. */
+    public List<String> dataCentres() {
+        return mDataCentres;
+    }
+
+    /** Returns what one machine has. */
+    public Demand machine() {
+        return mMachine;
+    }
+
+    /** Returns the number of targets. */
+    public int targets() {
+        return TARGETS;
+    }
+
+    /** Returns the slots of one target. */
+    public int slots() {
+        return SLOTS;
+    }
+
+    /** Returns the declared run time of a task, in milliseconds. */
+    public long typicalMillis() {
+        return TYPICAL_MILLIS;
+    }
+
+    /** Returns the time that a job may take, in milliseconds. */
+    public long timeoutMillis() {
+        return TIMEOUT_MILLIS;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/LocalFleet.java
@@ -0,0 +1,203 @@
+package org.jackdawsaddle.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.EntryService;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.config.ConfigurationPublisher;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.store.HttpStoreClient;
+import org.jackdawsaddle.settings.EntrySettings;
+import org.jackdawsaddle.standin.store.StoreSettings;
+import org.jackdawsaddle.standin.store.StoreStandIn;
+
+/** Entries, sidecars, stand-in targets and the stand-in store, in this process on loopback. */
+public final class LocalFleet implements ManagedService {
+    /** The administration token of the fleet's entries. */
+    public static final String TOKEN = "local-fleet";
+
+    private static final long MAX_BODY_BYTES = 1_048_576;
+    private static final long DRAIN_MILLIS = 10_000;
+    private static final long READY_PATIENCE_MILLIS = 20_000;
+    private static final long POLL_MILLIS = 20;
+    private static final int CALLER_THREADS = 2;
+
+    private final FleetSpec mSpec;
+    private final UnixClock mClock = new UnixClock();
+    private final StoreStandIn mStore;
+    private final HttpCaller mCaller = new HttpCaller(mClock, CALLER_THREADS);
+    private final HttpStoreClient mStoreClient;
+    private final List<EntryService> mEntries = new ArrayList<>();
+    private final List<String> mHttpAddresses;
+    private final List<LocalTarget> mTargets = new ArrayList<>();
+
+    /** Creates a fleet that is not running. */
+    public LocalFleet(FleetSpec spec) {
+        mSpec = spec;
+        String storeAddress = FreePorts.addresses(1).getFirst();
+        mStore = new StoreStandIn(new StoreSettings(storeAddress), mClock);
+        mStoreClient = new HttpStoreClient(mCaller, storeAddress, mClock);
+        List<String> addresses = FreePorts.addresses(2 * spec.entries());
+        mHttpAddresses = addresses.subList(0, spec.entries());
+        List<String> peerAddresses = addresses.subList(spec.entries(), 2 * spec.entries());
+        for (int index = 0; index < spec.entries(); index++) {
+            EntrySettings settings =
+                    new EntrySettings(
+                            "entry-" + (index + 1),
+                            "local",
+                            mHttpAddresses.get(index),
+                            peerAddresses.get(index),
+                            storeAddress,
+                            TOKEN,
+                            1,
+                            spec.queueOrder(),
+                            MAX_BODY_BYTES,
+                            DRAIN_MILLIS);
+            mEntries.add(new EntryService(settings, mStoreClient, mClock));
+        }
+        spec.targets()
+                .forEach(target -> mTargets.add(new LocalTarget(target, peerAddresses, mClock)));
+    }
+
+    @Override
+    public void start() {
+        mCaller.start();
+        mStore.start();
+        mEntries.forEach(EntryService::start);
+        mTargets.forEach(LocalTarget::start);
+        publish(mSpec.set(), "start of the fleet");
+        awaitServing(mTargets.size());
+    }
+
+    @Override
+    public void stop() {
+        mTargets.forEach(LocalTarget::stop);
+        mEntries.forEach(EntryService::stop);
+        mStore.stop();
+        mCaller.stop();
+    }
+
+    /** Publishes a set on top of what is published, and returns the new head. */
+    public ConfigurationHead publish(ConfigurationSet set, String reason) {
+        ConfigurationPublisher publisher = new ConfigurationPublisher(mStoreClient, mClock::now);
+        long base = publisher.read().join().revision();
+        return publisher
+                .publish(base, UUID.randomUUID().toString(), "local-fleet", reason, set)
+                .join();
+    }
+
+    /** Waits until the given number of targets takes work. */
+    public void awaitServing(int targets) {
+        long deadline = mClock.now() + READY_PATIENCE_MILLIS;
+        while (mClock.now() < deadline) {
+            boolean serving =
+                    mEntries.stream().allMatch(entry -> entry.control().ready())
+                            && serving() >= targets;
+            if (serving) {
+                return;
+            }
+            pause();
+        }
+        throw new IllegalStateException("The fleet did not start in time");
+    }
+
+    /** Waits until the revision is in force on every entry and sidecar, or time is up. */
+    public boolean awaitRevision(long revision, long patienceMillis) {
+        long deadline = mClock.now() + patienceMillis;
+        while (mClock.now() < deadline) {
+            List<EntryStatus> all = mEntries.getFirst().control().status().join();
+            boolean inForce =
+                    all.size() == mEntries.size()
+                            && all.stream().allMatch(status -> status.revision() >= revision)
+                            && all.stream()
+                                    .allMatch(status -> status.unconfirmed(revision).isEmpty());
+            if (inForce) {
+                return true;
+            }
+            pause();
+        }
+        return false;
+    }
+
+    /** Returns how often each task was started, over all targets. */
+    public Map<String, Integer> starts() {
+        Map<String, Integer> starts = new TreeMap<>();
+        for (LocalTarget target : mTargets) {
+            target.target()
+                    .ledger()
+                    .starts()
+                    .forEach((task, count) -> starts.merge(task, count, Integer::sum));
+        }
+        return starts;
+    }
+
+    /** Returns the messages between the fleet's processes, by type. */
+    public Map<String, Long> messages() {
+        Map<String, Long> messages = new TreeMap<>();
+        mEntries.forEach(entry -> add(messages, entry.messageCounts().messages()));
+        mTargets.forEach(target -> add(messages, target.sidecar().messageCounts().messages()));
+        return messages;
+    }
+
+    /** Returns the entries. */
+    public List<EntryService> entries() {
+        return List.copyOf(mEntries);
+    }
+
+    /** Returns where callers reach the entries, as host:port. */
+    public List<String> httpAddresses() {
+        return List.copyOf(mHttpAddresses);
+    }
+
+    /** Returns the targets. */
+    public List<LocalTarget> targets() {
+        return List.copyOf(mTargets);
+    }
+
+    /** Returns the stand-in store. */
+    public StoreStandIn store() {
+        return mStore;
+    }
+
+    /** Returns the HTTP client of the fleet. */
+    public HttpCaller caller() {
+        return mCaller;
+    }
+
+    /** Returns the clock of the fleet. */
+    public UnixClock clock() {
+        return mClock;
+    }
+
+    private long serving() {
+        CompletableFuture<List<EntryStatus>> status = mEntries.getFirst().control().status();
+        return status.join().stream()
+                .filter(entry ->
+                        entry.partitions().stream().allMatch(p -> p.phase().equals("ACTIVE")))
+                .flatMap(entry -> entry.targets().stream())
+                .filter(target -> target.state().equals("serving"))
+                .filter(target -> target.usable())
+                .count();
+    }
+
+    private static void add(Map<String, Long> sums, Map<String, Long> counts) {
+        counts.forEach((type, count) -> sums.merge(type, count, Long::sum));
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/store/StoreStandIn.java
@@ -0,0 +1,198 @@
+package org.jackdawsaddle.standin.store;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.SameThreadExecutor;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.store.StoreValue;
+import org.xnio.IoUtils;
+
+/** Takes the place of the platform's key-value service; faulty on demand. */
+public final class StoreStandIn implements ManagedService {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final long MAX_VALUE_BYTES = 1_048_576;
+    private static final long SWEEP_MILLIS = 20;
+    private static final long SLOW_MILLIS = 1_500;
+
+    /** The reply to a write. */
+    record WrittenBody(long version) {}
+
+    /** The reply to a watch. */
+    record ChangesBody(long position, List<StoreValue> values) {}
+
+    private record Watcher(
+            HttpServerExchange exchange, String prefix, long position, long expiresAt) {}
+
+    private final UnixClock mClock;
+    private final StoreState mState = new StoreState();
+    private final List<Watcher> mWatchers = new ArrayList<>();
+    private final AtomicLong mCalls = new AtomicLong();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(
+                    Thread.ofPlatform().daemon().name("store-timer").factory());
+    private final HttpServer mHttp;
+    private volatile StoreFault mFault = StoreFault.NONE;
+
+    /** Creates a store without values that is not running. */
+    public StoreStandIn(StoreSettings settings, UnixClock clock) {
+        mClock = clock;
+        RoutingHandler routes = new RoutingHandler();
+        routes.get("/v1/values/*", faulty(this::read));
+        routes.put("/v1/values/*", faulty(this::write));
+        routes.get("/v1/changes", faulty(this::watch));
+        routes.put("/faults/{fault}", this::setFault);
+        routes.get("/calls", exchange -> Replies.json(exchange, OK, "" + mCalls.get()));
+        mHttp = new HttpServer(settings.httpAddress(), 1, MAX_VALUE_BYTES, 0, routes);
+    }
+
+    @Override
+    public void start() {
+        mHttp.start();
+        mTimer.scheduleWithFixedDelay(
+                this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        mTimer.shutdownNow();
+        mHttp.stop();
+    }
+
+    /** Makes the store misbehave from now on, or behave again. */
+    public void fault(StoreFault fault) {
+        mFault = fault;
+    }
+
+    /** Returns how many calls were made, watches included. */
+    public long calls() {
+        return mCalls.get();
+    }
+
+    private HttpHandler faulty(HttpHandler handler) {
+        return exchange -> {
+            mCalls.incrementAndGet();
+            switch (mFault) {
+                case DOWN -> IoUtils.safeClose(exchange.getConnection());
+                case SLOW ->
+                        exchange.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                () ->
+                                        exchange.getIoThread()
+                                                .executeAfter(
+                                                        () -> handleLate(handler, exchange),
+                                                        SLOW_MILLIS,
+                                                        TimeUnit.MILLISECONDS));
+                default -> handler.handleRequest(exchange);
+            }
+        };
+    }
+
+    private static void handleLate(HttpHandler handler, HttpServerExchange exchange) {
+        try {
+            handler.handleRequest(exchange);
+        } catch (Exception e) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private void setFault(HttpServerExchange exchange) {
+        fault(StoreFault.valueOf(parameter(exchange, "fault").orElse("NONE")));
+        Replies.json(exchange, OK, "{}");
+    }
+
+    private void read(HttpServerExchange exchange) {
+        StoreValue value = mState.read(key(exchange));
+        reply(exchange, value.absent() ? NOT_FOUND : OK, value);
+    }
+
+    private void write(HttpServerExchange exchange) {
+        Replies.withBody(
+                exchange,
+                body -> {
+                    long expected = number(exchange, "version").orElse(0L);
+                    long expiresAt =
+                            number(exchange, "leaseMillis")
+                                    .map(millis -> mClock.now() + millis)
+                                    .orElse(Long.MAX_VALUE);
+                    Optional<Long> version =
+                            mState.compareAndSet(key(exchange), expected, body, expiresAt);
+                    reply(
+                            exchange,
+                            version.isPresent() ? OK : CONFLICT,
+                            new WrittenBody(version.orElse(0L)));
+                    answerWatchers();
+                });
+    }
+
+    private void watch(HttpServerExchange exchange) {
+        Replies.later(
+                exchange,
+                () -> {
+                    long expiresAt = mClock.now() + number(exchange, "waitMillis").orElse(0L);
+                    Watcher watcher =
+                            new Watcher(
+                                    exchange,
+                                    parameter(exchange, "prefix").orElse(""),
+                                    number(exchange, "position").orElse(0L),
+                                    expiresAt);
+                    synchronized (mWatchers) {
+                        mWatchers.add(watcher);
+                    }
+                    answerWatchers();
+                });
+    }
+
+    private void sweep() {
+        mState.expire(mClock.now());
+        answerWatchers();
+    }
+
+    private void answerWatchers() {
+        synchronized (mWatchers) {
+            for (Iterator<Watcher> it = mWatchers.iterator(); it.hasNext(); ) {
+                Watcher watcher = it.next();
+                long position = mState.position();
+                List<StoreValue> changes = mState.changes(watcher.prefix(), watcher.position());
+                if (!changes.isEmpty() || mClock.now() >= watcher.expiresAt()) {
+                    it.remove();
+                    reply(watcher.exchange(), OK, new ChangesBody(position, changes));
+                }
+            }
+        }
+    }
+
+    private void reply(HttpServerExchange exchange, int status, Object body) {
+        if (mFault == StoreFault.LOSE_ANSWERS || mFault == StoreFault.DOWN) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else {
+            Replies.json(exchange, status, body);
+        }
+    }
+
+    private static String key(HttpServerExchange exchange) {
+        return exchange.getRelativePath().substring("/v1/values/".length());
+    }
+
+    private static Optional<Long> number(HttpServerExchange exchange, String name) {
+        return parameter(exchange, name).map(Long::parseLong);
+    }
+
+    private static Optional<String> parameter(HttpServerExchange exchange, String name) {
+        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::peekFirst);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
@@ -0,0 +1,323 @@
+package org.jackdawsaddle;
+
+import io.undertow.server.RoutingHandler;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jackdawsaddle.internal.dispatch.EntryAction;
+import org.jackdawsaddle.internal.dispatch.EntryCore;
+import org.jackdawsaddle.internal.dispatch.EntryCounter;
+import org.jackdawsaddle.internal.dispatch.EntryEvent;
+import org.jackdawsaddle.internal.dispatch.EntryRecord;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import org.jackdawsaddle.internal.dispatch.Layout;
+import org.jackdawsaddle.internal.dispatch.QueueOrder;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.internal.entry.EntryControl;
+import org.jackdawsaddle.internal.entry.EntryLinks;
+import org.jackdawsaddle.internal.entry.EntryRoutes;
+import org.jackdawsaddle.internal.entry.StoreWatch;
+import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.jackdawsaddle.internal.runtime.MetricsText;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireThreads;
+import org.jackdawsaddle.job.JobAnswer;
+import org.jackdawsaddle.job.JobRequest;
+import org.jackdawsaddle.job.SubmissionId;
+import org.jackdawsaddle.settings.EntrySettings;
+import org.jackdawsaddle.store.StoreClient;
+
+/**
+ * An entry: takes jobs and changes of configuration by HTTP, and dispatches the tasks of the
+ * partitions that it owns.
+ */
+public final class EntryService implements ManagedService {
+    private static final Logger LOG = LogManager.getLogger(EntryService.class);
+    private static final int IO_THREADS = 2;
+    private static final long STATUS_PATIENCE_MILLIS = 1_000;
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    private final EntrySettings mSettings;
+    private final StoreClient mStore;
+    private final UnixClock mClock;
+    private final MessageCounts mCounts = new MessageCounts();
+    private final MetricsText mMetrics = new MetricsText();
+    private final AtomicLong mTokens = new AtomicLong();
+    private final Map<Long, CompletableFuture<JobAnswer>> mCallers = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<EntryStatus>> mStatusCalls =
+            new ConcurrentHashMap<>();
+    private final EntryCore mCore;
+    private final ControlLoop mLoop;
+    private final EntryLinks mLinks;
+    private final StoreWatch mWatch;
+    private final HttpServer mHttp;
+    private volatile boolean mReady;
+
+    /** Creates an entry that is not running. */
+    public EntryService(EntrySettings settings, StoreClient store, UnixClock clock) {
+        mSettings = settings;
+        mStore = store;
+        mClock = clock;
+        SecureRandom random = new SecureRandom();
+        NodeId self = new NodeId(settings.name(), random.nextLong() >>> 1);
+        EntryRecord record =
+                new EntryRecord(
+                        self,
+                        settings.peerAddress(),
+                        settings.httpAddress(),
+                        settings.dataCentre());
+        QueueOrder order = QueueOrder.valueOf(settings.queueOrder());
+        mCore = new EntryCore(record, new Layout(settings.partitions()), order, random);
+        mLoop =
+                new ControlLoop(
+                        "control-" + settings.name(),
+                        Timing.TICK_MILLIS,
+                        () -> handle(new EntryEvent.Tick()),
+                        this::perform);
+        WireThreads threads = new WireThreads("wire-" + settings.name(), IO_THREADS);
+        mLinks =
+                new EntryLinks(self, settings.peerAddress(), mLoop, this::handle, threads, mCounts);
+        mWatch =
+                new StoreWatch(
+                        store,
+                        values -> mLoop.execute(() -> handle(new EntryEvent.StoreRead(values))));
+        addMetrics();
+        RoutingHandler routes =
+                EntryRoutes.create(new Control(), store, settings.adminToken(), mMetrics);
+        mHttp =
+                new HttpServer(
+                        settings.httpAddress(),
+                        IO_THREADS,
+                        settings.maxBodyBytes(),
+                        settings.drainMillis(),
+                        routes);
+    }
+
+    @Override
+    public void start() {
+        mLinks.start();
+        mLoop.start();
+        mWatch.start();
+        mHttp.start();
+        LOG.info("Entry {} serves {}", mSettings.name(), mSettings.httpAddress());
+    }
+
+    @Override
+    public void stop() {
+        LOG.info("Entry {} is draining", mSettings.name());
+        mReady = false;
+        mLoop.execute(() -> handle(new EntryEvent.LeaveRequested()));
+        mHttp.stop();
+        awaitIdle();
+        mWatch.stop();
+        mLoop.stop();
+        mLinks.stop();
+        LOG.info("Entry {} has stopped", mSettings.name());
+    }
+
+    /** Returns the messages sent to other processes, by type. */
+    public MessageCounts messageCounts() {
+        return mCounts;
+    }
+
+    /** Returns what a counter has counted; exact once the entry is quiet. */
+    public long counted(EntryCounter counter) {
+        return mCore.counted(counter);
+    }
+
+    /** Returns how callers reach the decisions without HTTP. */
+    public EntryControl control() {
+        return new Control();
+    }
+
+    private void handle(EntryEvent event) {
+        if (event instanceof EntryEvent.PeerSent sent
+                && sent.message() instanceof PeerMessage.StatusAnswer answer) {
+            onStatusAnswer(answer);
+            return;
+        }
+        mCore.handle(event, mClock.now());
+    }
+
+    private void perform() {
+        List<EntryAction> actions = mCore.actions();
+        while (!actions.isEmpty()) {
+            actions.forEach(this::perform);
+            actions = mCore.actions();
+        }
+        mLinks.flush();
+        mReady = mCore.ready();
+    }
+
+    private void perform(EntryAction action) {
+        switch (action) {
+            case EntryAction.AnswerCaller answer ->
+                    Optional.ofNullable(mCallers.remove(answer.token()))
+                            .ifPresent(caller -> caller.complete(answer.answer()));
+            case EntryAction.SendToSidecar send -> mLinks.send(send.sidecar(), send.message());
+            case EntryAction.SendToPeer send -> mLinks.sendToPeer(send.peer(), send.message());
+            case EntryAction.ConnectPeer connect ->
+                    mLinks.connect(connect.peer(), connect.address());
+            case EntryAction.DisconnectPeer disconnect -> mLinks.disconnect(disconnect.peer());
+            case EntryAction.WriteStore write -> write(write);
+            case EntryAction.ReadStore read -> read(read.key());
+        }
+    }
+
+    private void write(EntryAction.WriteStore write) {
+        mStore.compareAndSet(
+                        write.key(), write.expectedVersion(), write.value(), write.leaseMillis())
+                .whenComplete((version, failure) ->
+                        later(
+                                failure == null
+                                        ? new EntryEvent.StoreWritten(write.key(), version)
+                                        : new EntryEvent.StoreFailed(write.key())));
+    }
+
+    private void read(String key) {
+        mStore.read(key)
+                .whenComplete((value, failure) ->
+                        later(
+                                failure == null
+                                        ? new EntryEvent.StoreRead(List.of(value))
+                                        : new EntryEvent.StoreFailed(key)));
+    }
+
+    private void later(EntryEvent event) {
+        mLoop.execute(() -> handle(event));
+    }
+
+    private void onStatusAnswer(PeerMessage.StatusAnswer answer) {
+        Optional.ofNullable(mStatusCalls.remove(answer.token()))
+                .ifPresent(
+                        call -> call.complete(StoreJson.read(answer.status(), EntryStatus.class)));
+    }
+
+    private void awaitIdle() {
+        long deadline = mClock.now() + mSettings.drainMillis();
+        try {
+            while (!onControl(mCore::idle).join() && mClock.now() < deadline) {
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private <T> CompletableFuture<T> onControl(Supplier<T> work) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        mLoop.execute(() -> result.complete(work.get()));
+        return result;
+    }
+
+    private void addMetrics() {
+        for (EntryCounter counter : EntryCounter.values()) {
+            String name = "jackdawsaddle_entry_" + counter.metricName();
+            mMetrics.counter(name, "See docs/OPERATIONS.md", () -> mCore.counted(counter));
+        }
+        mMetrics.counters(
+                "jackdawsaddle_messages_sent", "Messages by type", "type", mCounts::messages);
+        mMetrics.counters("jackdawsaddle_bytes_sent", "Bytes by type", "type", mCounts::bytes);
+        mMetrics.gauge("jackdawsaddle_ready", "1 if ready", () -> mReady ? 1 : 0);
+        mMetrics.gauge(
+                "jackdawsaddle_store_failing", "1 if failing", () -> mWatch.failing() ? 1 : 0);
+    }
+
+    /** Hands the calls of the HTTP side to the control thread. */
+    private final class Control implements EntryControl {
+        @Override
+        public CompletableFuture<JobAnswer> submit(JobRequest request) {
+            return ask(token -> new EntryEvent.CallerSubmitted(token, request));
+        }
+
+        @Override
+        public CompletableFuture<JobAnswer> query(SubmissionId id, String service) {
+            return ask(token -> new EntryEvent.CallerQueried(token, id, service));
+        }
+
+        private CompletableFuture<JobAnswer> ask(LongFunction<EntryEvent> event) {
+            long token = mTokens.incrementAndGet();
+            CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+            mCallers.put(token, answer);
+            later(event.apply(token));
+            return answer;
+        }
+
+        @Override
+        public void cancel(SubmissionId id, String service) {
+            later(new EntryEvent.CallerCancelled(id, service));
+        }
+
+        @Override
+        public CompletableFuture<List<SubmissionId>> issueIds(int count, Optional<String> kind) {
+            return onControl(() -> {
+                List<SubmissionId> ids = new ArrayList<>();
+                for (int index = 0; index < count; index++) {
+                    ids.add(mCore.issueId(kind, mClock.now()));
+                }
+                return ids;
+            });
+        }
+
+        @Override
+        public CompletableFuture<List<EntryStatus>> status() {
+            return onControl(this::askAll)
+                    .thenCompose(calls ->
+                            CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                                    .thenApply(done -> collect(calls)));
+        }
+
+        private List<CompletableFuture<Optional<EntryStatus>>> askAll() {
+            List<CompletableFuture<Optional<EntryStatus>>> calls = new ArrayList<>();
+            calls.add(CompletableFuture.completedFuture(Optional.of(mCore.status())));
+            for (NodeId peer : mLinks.peers()) {
+                long token = mTokens.incrementAndGet();
+                CompletableFuture<EntryStatus> call = new CompletableFuture<>();
+                mStatusCalls.put(token, call);
+                mLinks.sendToPeer(peer, new PeerMessage.StatusQuery(token));
+                calls.add(
+                        call.thenApply(Optional::of)
+                                .completeOnTimeout(
+                                        Optional.empty(),
+                                        STATUS_PATIENCE_MILLIS,
+                                        TimeUnit.MILLISECONDS)
+                                .whenComplete((status, failure) -> mStatusCalls.remove(token)));
+            }
+            return calls;
+        }
+
+        private static List<EntryStatus> collect(
+                List<CompletableFuture<Optional<EntryStatus>>> calls) {
+            return calls.stream().flatMap(call -> call.join().stream()).toList();
+        }
+
+        @Override
+        public CompletableFuture<String> configuration() {
+            return onControl(mCore::configuration);
+        }
+
+        @Override
+        public boolean ready() {
+            return mReady;
+        }
+
+        @Override
+        public long now() {
+            return mClock.now();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/SidecarService.java
@@ -0,0 +1,176 @@
+package org.jackdawsaddle;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.runtime.HealthHandler;
+import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.jackdawsaddle.internal.runtime.MetricsText;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.sidecar.SidecarAction;
+import org.jackdawsaddle.internal.sidecar.SidecarCore;
+import org.jackdawsaddle.internal.sidecar.SidecarCounter;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
+import org.jackdawsaddle.internal.sidecar.SidecarLinks;
+import org.jackdawsaddle.internal.sidecar.TargetClient;
+import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireThreads;
+import org.jackdawsaddle.settings.SidecarSettings;
+
+/** A sidecar: the only process that starts work on the target beside it. */
+public final class SidecarService implements ManagedService {
+    private static final Logger LOG = LogManager.getLogger(SidecarService.class);
+    private static final int OK = 200;
+    private static final long MAX_BODY_BYTES = 65_536;
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    private final SidecarSettings mSettings;
+    private final UnixClock mClock;
+    private final MessageCounts mCounts = new MessageCounts();
+    private final MetricsText mMetrics = new MetricsText();
+    private final SidecarCore mCore;
+    private final ControlLoop mLoop;
+    private final SidecarLinks mLinks;
+    private final HttpCaller mCaller;
+    private final TargetClient mTarget;
+    private final HttpServer mHttp;
+    private volatile boolean mServing;
+
+    /** Creates a sidecar that is not running. */
+    public SidecarService(SidecarSettings settings, UnixClock clock) {
+        mSettings = settings;
+        mClock = clock;
+        long incarnation = new SecureRandom().nextLong() >>> 1;
+        NodeId self = new NodeId(settings.name(), incarnation);
+        mCore = new SidecarCore(self, settings.dataCentre(), clock.now());
+        mLoop =
+                new ControlLoop(
+                        "control-" + settings.name(),
+                        Timing.TICK_MILLIS,
+                        () -> handle(new SidecarEvent.Tick()),
+                        this::perform);
+        WireThreads threads = new WireThreads("wire-" + settings.name(), 1);
+        mLinks = new SidecarLinks(settings.entryAddresses(), mLoop, this::handle, threads, mCounts);
+        mCaller = new HttpCaller(clock, 1);
+        mTarget = new TargetClient(mCaller, clock);
+        addMetrics();
+        mHttp =
+                new HttpServer(
+                        settings.httpAddress(), 1, MAX_BODY_BYTES, DRAIN_POLL_MILLIS, routes());
+    }
+
+    @Override
+    public void start() {
+        mCaller.start();
+        mLoop.start();
+        mLinks.start();
+        mHttp.start();
+        LOG.info("Sidecar {} awaits its target at {}", mSettings.name(), mSettings.httpAddress());
+    }
+
+    @Override
+    public void stop() {
+        LOG.info("Sidecar {} is draining", mSettings.name());
+        mLoop.execute(() -> handle(new SidecarEvent.LeaveRequested()));
+        awaitIdle();
+        mHttp.stop();
+        mLoop.stop();
+        mLinks.stop();
+        mCaller.stop();
+        LOG.info("Sidecar {} has stopped", mSettings.name());
+    }
+
+    /** Returns the messages sent to entries, by type. */
+    public MessageCounts messageCounts() {
+        return mCounts;
+    }
+
+    /** Returns what a counter has counted; exact once the sidecar is quiet. */
+    public long counted(SidecarCounter counter) {
+        return mCore.counted(counter);
+    }
+
+    private RoutingHandler routes() {
+        RoutingHandler routes = new RoutingHandler();
+        routes.put("/v1/announcement", this::onAnnouncement);
+        routes.delete("/v1/announcement", this::onWithdrawal);
+        HealthHandler.addTo(routes, () -> mServing, mMetrics);
+        return routes;
+    }
+
+    private void onAnnouncement(HttpServerExchange exchange) {
+        Replies.withBody(
+                exchange,
+                body -> {
+                    SidecarEvent.Announcement announcement =
+                            JsonBody.read(body, SidecarEvent.Announcement.class);
+                    later(new SidecarEvent.TargetAnnounced(announcement));
+                    Replies.json(exchange, OK, "{}");
+                });
+    }
+
+    private void onWithdrawal(HttpServerExchange exchange) {
+        later(new SidecarEvent.TargetWithdrawn());
+        Replies.json(exchange, OK, "{}");
+    }
+
+    private void later(SidecarEvent event) {
+        mLoop.execute(() -> handle(event));
+    }
+
+    private void handle(SidecarEvent event) {
+        mCore.handle(event, mClock.now());
+    }
+
+    private void perform() {
+        List<SidecarAction> actions = mCore.actions();
+        actions.forEach(this::perform);
+        mLinks.flush();
+        mServing = mCore.serving();
+    }
+
+    private void perform(SidecarAction action) {
+        switch (action) {
+            case SidecarAction.SendToEntry send -> mLinks.send(send.entry(), send.message());
+            case SidecarAction.RunTask run -> mTarget.run(run).thenAccept(this::later);
+            case SidecarAction.StopTask stop -> mTarget.stop(stop);
+        }
+    }
+
+    private void awaitIdle() {
+        long deadline = mClock.now() + mSettings.drainMillis();
+        try {
+            while (!idle() && mClock.now() < deadline) {
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean idle() {
+        CompletableFuture<Boolean> idle = new CompletableFuture<>();
+        mLoop.execute(() -> idle.complete(mCore.idle()));
+        return idle.join();
+    }
+
+    private void addMetrics() {
+        for (SidecarCounter counter : SidecarCounter.values()) {
+            String name = "jackdawsaddle_sidecar_" + counter.metricName();
+            mMetrics.counter(name, "See docs/OPERATIONS.md", () -> mCore.counted(counter));
+        }
+        mMetrics.counters(
+                "jackdawsaddle_messages_sent", "Messages by type", "type", mCounts::messages);
+        mMetrics.counters("jackdawsaddle_bytes_sent", "Bytes by type", "type", mCounts::bytes);
+        mMetrics.gauge("jackdawsaddle_serving", "1 if serving", () -> mServing ? 1 : 0);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationPublisher.java
@@ -0,0 +1,179 @@
+package org.jackdawsaddle.config;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.jackdawsaddle.errors.ConfigurationConflictException;
+import org.jackdawsaddle.errors.ConfigurationInvalidException;
+import org.jackdawsaddle.errors.StoreUnavailableException;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.dispatch.StoreKeys;
+import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.store.StoreValue;
+
+/** Publishes a checked set by compare-and-swap of the one head value, audit trail included. */
+public final class ConfigurationPublisher {
+    private static final int MAX_AUDIT_RECORDS = 200;
+    private static final int SETTLING_READS = 3;
+
+    private final StoreClient mStore;
+    private final LongSupplier mClock;
+
+    /**
+     * Creates a publisher.
+     *
+     * @param clock returns the time in milliseconds since the epoch
+     */
+    public ConfigurationPublisher(StoreClient store, LongSupplier clock) {
+        mStore = store;
+        mClock = clock;
+    }
+
+    /** Reads what is published. */
+    public CompletableFuture<ConfigurationHead> read() {
+        return mStore.read(StoreKeys.CONFIGURATION).thenApply(ConfigurationPublisher::parse);
+    }
+
+    /**
+     * Publishes a set on top of the base revision.
+     *
+     * <p>The future ends with {@link ConfigurationConflictException} if another change came first,
+     * and with {@link StoreUnavailableException} if the store does not tell what became of it; the
+     * same publication id can then be published again.
+     */
+    public CompletableFuture<ConfigurationHead> publish(
+            long baseRevision,
+            String publicationId,
+            String author,
+            String reason,
+            ConfigurationSet set) {
+        return mStore.read(StoreKeys.CONFIGURATION)
+                .thenCompose(value -> {
+                    ConfigurationHead current = parse(value);
+                    Optional<ConfigurationHead> done = find(current, publicationId);
+                    if (done.isPresent()) {
+                        return CompletableFuture.completedFuture(done.get());
+                    }
+                    if (current.revision() != baseRevision) {
+                        throw conflict(current, baseRevision);
+                    }
+                    requireSound(current, set);
+                    AuditRecord record = record(current, publicationId, author, reason, set);
+                    return write(value, next(current, record, set), publicationId);
+                });
+    }
+
+    private CompletableFuture<ConfigurationHead> write(
+            StoreValue value, ConfigurationHead head, String publicationId) {
+        String json = StoreJson.write(head);
+        return mStore.compareAndSet(
+                        StoreKeys.CONFIGURATION, value.version(), json, Optional.empty())
+                .handle((version, failure) ->
+                        failure == null && version.isPresent()
+                                ? CompletableFuture.completedFuture(head)
+                                : settle(head, publicationId, SETTLING_READS))
+                .thenCompose(result -> result);
+    }
+
+    /** Finds out by the publication id whether a write without an answer took effect. */
+    private CompletableFuture<ConfigurationHead> settle(
+            ConfigurationHead wanted, String publicationId, int reads) {
+        return read().handle(
+                        (current, failure) -> {
+                            if (failure != null && reads > 1) {
+                                return settle(wanted, publicationId, reads - 1);
+                            }
+                            if (failure != null) {
+                                throw new StoreUnavailableException(
+                                        "Publication " + publicationId + " is not settled.");
+                            }
+                            if (find(current, publicationId).isPresent()) {
+                                return CompletableFuture.completedFuture(wanted);
+                            }
+                            if (current.revision() < wanted.revision()) {
+                                throw new StoreUnavailableException(
+                                        "Publication " + publicationId + " has no effect yet.");
+                            }
+                            throw conflict(current, wanted.revision() - 1);
+                        })
+                .thenCompose(result -> result);
+    }
+
+    private static void requireSound(ConfigurationHead current, ConfigurationSet set) {
+        List<Finding> findings = ConfigurationChecker.check(current.set(), set);
+        if (!findings.isEmpty()) {
+            throw new ConfigurationInvalidException(findings);
+        }
+    }
+
+    private AuditRecord record(
+            ConfigurationHead current,
+            String publicationId,
+            String author,
+            String reason,
+            ConfigurationSet set) {
+        return new AuditRecord(
+                current.revision() + 1,
+                publicationId,
+                mClock.getAsLong(),
+                author,
+                reason,
+                hash(set),
+                ConfigurationDiff.lines(current.set(), set));
+    }
+
+    private static ConfigurationHead next(
+            ConfigurationHead current, AuditRecord record, ConfigurationSet set) {
+        List<AuditRecord> audit = new ArrayList<>();
+        audit.add(record);
+        current.audit().stream().limit(MAX_AUDIT_RECORDS - 1L).forEach(audit::add);
+        return new ConfigurationHead(record.revision(), set, audit);
+    }
+
+    private static Optional<ConfigurationHead> find(ConfigurationHead head, String publicationId) {
+        boolean found =
+                head.audit().stream()
+                        .anyMatch(record -> record.publicationId().equals(publicationId));
+        return found ? Optional.of(head) : Optional.empty();
+    }
+
+    private static ConfigurationConflictException conflict(ConfigurationHead head, long base) {
+        String rival =
+                head.audit().stream()
+                        .filter(record -> record.revision() > base)
+                        .map(record ->
+                                "revision "
+                                        + record.revision()
+                                        + " by "
+                                        + record.author()
+                                        + " ("
+                                        + record.reason()
+                                        + "): "
+                                        + String.join("; ", record.changes()))
+                        .findFirst()
+                        .orElse("revision " + head.revision());
+        return new ConfigurationConflictException(
+                "Based on revision " + base + ", but there is " + rival + ".");
+    }
+
+    private static ConfigurationHead parse(StoreValue value) {
+        return value.absent()
+                ? ConfigurationHead.NONE
+                : StoreJson.read(value.value(), ConfigurationHead.class);
+    }
+
+    private static String hash(ConfigurationSet set) {
+        try {
+            byte[] json = StoreJson.write(set).getBytes(StandardCharsets.UTF_8);
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(json));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/errors/ErrorCode.java
@@ -0,0 +1,187 @@
+package org.jackdawsaddle.errors;
+
+/**
+ * Every error that a caller or an operator can meet: its stable code, HTTP status and the remedy.
+ *
+ * <p>This is the one place for user-visible error texts.
+ */
+public enum ErrorCode {
+    ANSWER_EXPIRED(
+            "answer-expired",
+            502,
+            "The submission ended earlier and its answer is no longer kept.",
+            "Look up the effect in the back end; do not submit the work under another id."),
+    AUTHORITY_UNCONFIRMED(
+            "authority-unconfirmed",
+            502,
+            "This entry cannot prove that nothing was started.",
+            "Submit the same id again after a second."),
+    BODY_TOO_LARGE(
+            "body-too-large",
+            413,
+            "The request body is larger than this entry accepts.",
+            "Split the job, or raise maxBodyBytes in the entry's settings."),
+    CANCELLED("cancelled", 409, "The job was cancelled.", "None; submit a new id to run it."),
+    CONFIGURATION_CONFLICT(
+            "configuration-conflict",
+            409,
+            "Another change was published first.",
+            "Run diff against the current revision, then publish on top of it."),
+    CONFIGURATION_INVALID(
+            "configuration-invalid",
+            422,
+            "The set of objects has findings and was not published.",
+            "Mend each finding at its path, run check, then publish again."),
+    CONFIGURATION_MISSING(
+            "configuration-missing",
+            503,
+            "This process has not seen a configuration yet.",
+            "Publish one, or wait until the store answers."),
+    DEADLINE_PASSED(
+            "deadline-passed",
+            503,
+            "The deadline passed before any task could start.",
+            "Submit again with a later deadline or under less load."),
+    DEADLINE_EXCEEDED(
+            "deadline-exceeded",
+            502,
+            "The deadline passed after tasks had started.",
+            "Submit the same id to ask again; look up the effect before using a new id."),
+    DEADLINE_UNREACHABLE(
+            "deadline-unreachable",
+            503,
+            "The work in line would end after the deadline.",
+            "Submit again later, or with a later deadline."),
+    DRAINING(
+            "draining",
+            503,
+            "This entry is shutting down.",
+            "Submit the same id again; the balancer will choose another entry."),
+    ID_EXPIRED(
+            "id-expired",
+            502,
+            "The id is older than the lifetime of submission ids.",
+            "Look up the effect in the back end, then use a new id."),
+    ID_FROM_FUTURE(
+            "id-from-future",
+            422,
+            "The id's timestamp lies ahead of this entry's clock.",
+            "Correct the caller's clock or take an id from POST /v1/ids."),
+    ID_REUSED(
+            "id-reused",
+            422,
+            "The id was used with another body.",
+            "Use a new id for a different job."),
+    JOB_UNKNOWN(
+            "job-unknown",
+            404,
+            "No job with this id is known here.",
+            "Check the id and the service parameter."),
+    JOB_PENDING(
+            "job-pending",
+            202,
+            "The job has not ended yet.",
+            "Ask again, or submit the same body to wait for the answer."),
+    LIMIT_EXCEEDED(
+            "limit-exceeded",
+            429,
+            "A limit of the team or job kind is used up.",
+            "Submit again after earlier work has ended, or raise the limit."),
+    NEVER_FITS(
+            "never-fits",
+            422,
+            "No target of the service can hold one task of this kind.",
+            "Lower the job kind's demand or add a larger target."),
+    NO_TARGET(
+            "no-target",
+            503,
+            "No target of the service is able to take work.",
+            "Check status for targets that are missing, drained or failing."),
+    OVERLOADED("overloaded", 503, "The queue of the service is full.", "Submit again later."),
+    OWNER_UNREACHABLE(
+            "owner-unreachable",
+            502,
+            "The owner of this id could not be reached before the deadline.",
+            "Submit the same id again; new work can take an id from POST /v1/ids."),
+    REQUEST_INVALID(
+            "request-invalid",
+            400,
+            "The request is not valid.",
+            "Correct the field that the detail names."),
+    SETTINGS_INVALID(
+            "settings-invalid",
+            400,
+            "The settings file is not valid.",
+            "Correct the field at the path; run settings ROLE for an example."),
+    STORE_UNAVAILABLE(
+            "store-unavailable",
+            503,
+            "The platform's store does not answer.",
+            "Serving goes on; repeat the change once the store is back."),
+    TARGET_LOST(
+            "target-lost",
+            502,
+            "The target ended while it was running a task.",
+            "Look up the effect in the back end before using a new id."),
+    TARGET_UNREACHABLE(
+            "target-unreachable",
+            503,
+            "The target refused the connection.",
+            "Nothing ran; submit again."),
+    TASK_FAILED(
+            "task-failed",
+            502,
+            "A task failed on its target.",
+            "Read the detail; correct the payload or the back end."),
+    UNAUTHORIZED(
+            "unauthorized",
+            401,
+            "The administration token is missing or wrong.",
+            "Send Authorization: Bearer with the token of the entry's settings.");
+
+    private final String mCode;
+    private final int mHttpStatus;
+    private final String mMessage;
+    private final String mRemedy;
+
+    ErrorCode(String code, int httpStatus, String message, String remedy) {
+        mCode = code;
+        mHttpStatus = httpStatus;
+        mMessage = message;
+        mRemedy = remedy;
+    }
+
+    /** Returns the stable code, in lower case with hyphens. */
+    public String code() {
+        return mCode;
+    }
+
+    /** Returns the HTTP status that carries this error. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns one sentence that says what is wrong. */
+    public String message() {
+        return mMessage;
+    }
+
+    /** Returns one sentence that says what to do. */
+    public String remedy() {
+        return mRemedy;
+    }
+
+    /**
+     * Finds the error with the given code.
+     *
+     * @throws IllegalArgumentException if no error has this code
+     */
+    public static ErrorCode of(String code) {
+        for (ErrorCode candidate : values()) {
+            if (candidate.mCode.equals(code)) {
+                return candidate;
+            }
+        }
+        throw new IllegalArgumentException("Unknown error code: " + code);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Admission.java
@@ -0,0 +1,93 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import org.jackdawsaddle.config.ServiceObject;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.job.JobAnswer;
+
+/** Decides at once whether a job can end in time, so that none queues in vain. */
+final class Admission {
+    private static final long DISCOVERY_MILLIS = 3_000;
+
+    private final EntryBoard mBoard;
+    private final SpeedModel mSpeeds;
+
+    Admission(EntryBoard board, SpeedModel speeds) {
+        mBoard = board;
+        mSpeeds = speeds;
+    }
+
+    /** Returns why the job is refused, or empty if it is admitted. */
+    Optional<JobAnswer.NotRun> refusal(OwnedPartition partition, Job job) {
+        ServiceObject service = mBoard.mHead.set().service(job.mKind.service()).orElseThrow();
+        List<SidecarView> targets = targets(partition, service.name());
+        if (targets.isEmpty()) {
+            return noTargets(partition, service);
+        }
+        if (targets.stream().noneMatch(target -> target.everFits(job.mKind.demand()))) {
+            return refuse(ErrorCode.NEVER_FITS, "job kind " + job.mKind.name());
+        }
+        int shares = Math.clamp(service.partitions(), 1, mBoard.mPartitionCount);
+        Optional<String> exceeded =
+                partition.mBook.limits().exceeded(job, mBoard.mHead.set(), shares);
+        if (exceeded.isPresent()) {
+            return refuse(ErrorCode.LIMIT_EXCEEDED, exceeded.get());
+        }
+        JobQueue queue = partition.mBook.queue(service.name());
+        if (queue.tasks() + job.tasks() > service.queueTasks()) {
+            return refuse(ErrorCode.OVERLOADED, "service " + service.name());
+        }
+        long expectedEnd = expectedEnd(job, queue, targets);
+        if (expectedEnd > job.deadline()) {
+            long late = expectedEnd - job.deadline();
+            return refuse(ErrorCode.DEADLINE_UNREACHABLE, "by " + late + " ms");
+        }
+        return Optional.empty();
+    }
+
+    /** Returns when the job would end if it were served after everything in line. */
+    private long expectedEnd(Job job, JobQueue queue, List<SidecarView> targets) {
+        double capacity = 0;
+        double free = 0;
+        double fastest = 0;
+        for (SidecarView target : targets) {
+            capacity += target.mSpeed * target.slots();
+            free += Math.max(0, target.freeSlots(mBoard.mNow));
+            fastest = Math.max(fastest, target.mSpeed);
+        }
+        long work = 0;
+        long longest = 0;
+        for (int index = 0; index < job.tasks(); index++) {
+            work += job.expectedMillis(index);
+            longest = Math.max(longest, job.expectedMillis(index));
+        }
+        String kind = job.mKind.name();
+        double wait = mSpeeds.expectedMillis(kind, queue.workMillis()) / capacity;
+        double span = mSpeeds.expectedMillis(kind, work) / capacity;
+        if (job.tasks() <= free) {
+            span = 0;
+        }
+        double last = mSpeeds.expectedMillis(kind, longest) / fastest;
+        return mBoard.mNow + (long) (wait + span + last);
+    }
+
+    private List<SidecarView> targets(OwnedPartition partition, String service) {
+        return mBoard.mSidecars.values().stream()
+                .filter(view -> view.mPartition == partition.mIndex)
+                .filter(view -> view.mHello.service().equals(service))
+                .filter(SidecarView::serving)
+                .toList();
+    }
+
+    private Optional<JobAnswer.NotRun> noTargets(OwnedPartition partition, ServiceObject service) {
+        if (mBoard.mNow < partition.mActiveSince + DISCOVERY_MILLIS) {
+            return Optional.empty();
+        }
+        return refuse(ErrorCode.NO_TARGET, "service " + service.name());
+    }
+
+    private static Optional<JobAnswer.NotRun> refuse(ErrorCode code, String detail) {
+        return Optional.of(new JobAnswer.NotRun(code, detail));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryBoard.java
@@ -0,0 +1,77 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.config.ServiceObject;
+
+/**
+ * The blackboard of an entry: all that its controllers read and write, on the control thread alone.
+ */
+final class EntryBoard {
+    final EntryRecord mSelf;
+    final RandomGenerator mRandom;
+    final Outbox mOutbox = new Outbox();
+    final Map<NodeId, SidecarView> mSidecars = new LinkedHashMap<>();
+    final Map<NodeId, PeerView> mPeers = new LinkedHashMap<>();
+    final Map<Integer, OwnedPartition> mOwned = new LinkedHashMap<>();
+    final Map<Integer, Versioned<PartitionRecord>> mPartitions = new HashMap<>();
+    final Map<String, Versioned<EntryRecord>> mEntries = new HashMap<>();
+    private final long[] mCounts = new long[EntryCounter.values().length];
+    ConfigurationHead mHead = ConfigurationHead.NONE;
+    Optional<PartitionMap> mMap = Optional.empty();
+    int mPartitionCount;
+    boolean mLeaving;
+    long mNow;
+
+    EntryBoard(EntryRecord self, RandomGenerator random) {
+        mSelf = self;
+        mRandom = random;
+    }
+
+    NodeId self() {
+        return mSelf.node();
+    }
+
+    void count(EntryCounter counter) {
+        mCounts[counter.ordinal()]++;
+    }
+
+    void count(EntryCounter counter, int amount) {
+        mCounts[counter.ordinal()] += amount;
+    }
+
+    long counted(EntryCounter counter) {
+        return mCounts[counter.ordinal()];
+    }
+
+    Optional<SidecarView> sidecar(NodeId node) {
+        return Optional.ofNullable(mSidecars.get(node));
+    }
+
+    /** Returns the views of all sidecars of the partition, connected or lost. */
+    List<SidecarView> sidecarsOf(OwnedPartition partition) {
+        return mSidecars.values().stream()
+                .filter(view -> view.mPartition == partition.mIndex)
+                .toList();
+    }
+
+    Collection<OwnedPartition> owned() {
+        return List.copyOf(mOwned.values());
+    }
+
+    /** Returns the partition that a target belongs to, or -1 while that is not known. */
+    int partitionOfTarget(String service, String target) {
+        Optional<ServiceObject> object = mHead.set().service(service);
+        if (mMap.isEmpty() || object.isEmpty()) {
+            return -1;
+        }
+        return mMap.get().partitionOf(object.get(), target);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -0,0 +1,305 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.ServiceObject;
+import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.job.SubmissionId;
+
+/**
+ * All decisions of an entry, without threads, sockets or clocks: events and a reading of the clock
+ * in, actions out. One thread calls it.
+ */
+public final class EntryCore {
+    private static final long LOST_SIDECAR_MILLIS = 60_000;
+
+    private final EntryBoard mBoard;
+    private final MembershipController mMembership;
+    private final ClaimController mClaims;
+    private final OwnershipController mOwnership;
+    private final RecoveryController mRecovery;
+    private final DispatchController mDispatch;
+    private final ResultController mResults;
+    private final RoutingController mRouting;
+    private final ConfigurationController mConfiguration;
+    private final PartitionHandover mHandover;
+    private final StoreController mStore;
+    private final Welcomes mWelcomes;
+
+    /**
+     * Creates the decisions of one entry.
+     *
+     * @param self this process
+     * @param layout the layout to write if the store has none
+     * @param order the order in which waiting jobs are served
+     * @param random chooses ids and nothing else
+     */
+    public EntryCore(EntryRecord self, Layout layout, QueueOrder order, RandomGenerator random) {
+        mBoard = new EntryBoard(self, random);
+        SpeedModel speeds = new SpeedModel();
+        Answers answers = new Answers(mBoard);
+        JobEnder ender = new JobEnder(mBoard, answers);
+        mMembership = new MembershipController(mBoard);
+        mClaims = new ClaimController(mBoard, mMembership);
+        mOwnership = new OwnershipController(mBoard);
+        mRecovery = new RecoveryController(mBoard, ender);
+        Admission admission = new Admission(mBoard, speeds);
+        mDispatch = new DispatchController(mBoard, answers, admission, ender, mRecovery, order);
+        mResults = new ResultController(mBoard, speeds, new RetryBudget(), ender);
+        mRouting = new RoutingController(mBoard, mDispatch);
+        mConfiguration = new ConfigurationController(mBoard);
+        mHandover = new PartitionHandover(mBoard, mClaims, mRouting);
+        mWelcomes = new Welcomes(mBoard);
+        mStore =
+                new StoreController(
+                        mBoard,
+                        mMembership,
+                        mClaims,
+                        mOwnership,
+                        mConfiguration,
+                        mHandover,
+                        mWelcomes,
+                        layout);
+    }
+
+    /**
+     * Takes one event.
+     *
+     * @param now the clock in milliseconds since the epoch, which never goes back
+     */
+    public void handle(EntryEvent event, long now) {
+        mBoard.mNow = now;
+        switch (event) {
+            case EntryEvent.CallerSubmitted submitted ->
+                    mRouting.submit(submitted.token(), submitted.request());
+            case EntryEvent.CallerQueried queried ->
+                    mRouting.query(queried.token(), queried.id(), queried.service());
+            case EntryEvent.CallerCancelled cancelled ->
+                    mRouting.cancel(cancelled.id(), cancelled.service());
+            case EntryEvent.SidecarAnnounced announced -> onAnnounced(announced.hello());
+            case EntryEvent.SidecarLost lost -> onSidecarLost(lost.sidecar());
+            case EntryEvent.SidecarSent sent -> onSidecarSent(sent.sidecar(), sent.message());
+            case EntryEvent.PeerConnected connected ->
+                    mMembership.onPeerConnected(connected.peer());
+            case EntryEvent.PeerLost lost -> {
+                mMembership.onPeerLost(lost.peer());
+                mRouting.onPeerLost(lost.peer());
+            }
+            case EntryEvent.PeerSent sent -> onPeerSent(sent.peer(), sent.message());
+            case EntryEvent.StoreRead read -> read.values().forEach(mStore::onValue);
+            case EntryEvent.StoreWritten written ->
+                    mStore.onWritten(written.key(), written.version());
+            case EntryEvent.StoreFailed failed -> mStore.onFailed(failed.key());
+            case EntryEvent.Tick tick -> onTick();
+            case EntryEvent.LeaveRequested leave -> onLeave();
+        }
+    }
+
+    /** Returns the actions that the events since the last call have led to. */
+    public List<EntryAction> actions() {
+        return mBoard.mOutbox.drain();
+    }
+
+    /** Returns what a counter has counted. */
+    public long counted(EntryCounter counter) {
+        return mBoard.counted(counter);
+    }
+
+    /** Returns whether callers should be sent here. */
+    public boolean ready() {
+        return mBoard.mHead.revision() > 0 && mBoard.mMap.isPresent() && !mBoard.mLeaving;
+    }
+
+    /** Returns whether a shutdown would cut off no job. */
+    public boolean idle() {
+        return mBoard.mOwned.isEmpty() && mRouting.waiting() == 0;
+    }
+
+    /** Returns the JSON text of the configuration in force. */
+    public String configuration() {
+        return StoreJson.write(mBoard.mHead);
+    }
+
+    /** Returns a snapshot of this entry for operators. */
+    public EntryStatus status() {
+        return EntryStatus.of(mBoard);
+    }
+
+    /** Creates an id that a partition of this entry decides for, if it has an active one. */
+    public SubmissionId issueId(Optional<String> kind, long now) {
+        SubmissionId id = SubmissionId.create(now, mBoard.mRandom);
+        Optional<ServiceObject> service =
+                kind.flatMap(mBoard.mHead.set()::jobKind)
+                        .flatMap(object -> mBoard.mHead.set().service(object.service()));
+        if (service.isEmpty() || mBoard.mMap.isEmpty()) {
+            return id;
+        }
+        PartitionMap map = mBoard.mMap.get();
+        return mBoard.owned().stream()
+                .filter(OwnedPartition::active)
+                .filter(partition -> map.serves(service.get(), partition.mIndex))
+                .findFirst()
+                .map(partition -> map.bind(service.get(), id, partition.mIndex))
+                .orElse(id);
+    }
+
+    private void onTick() {
+        mStore.onTick();
+        mMembership.onTick();
+        mClaims.onTick();
+        mClaims.askAgain();
+        mClaims.surplus().ifPresent(mHandover::release);
+        for (OwnedPartition partition : mBoard.owned()) {
+            if (mOwnership.onTick(partition)) {
+                mConfiguration.onActivated(partition);
+                mDispatch.takeUpHeld(partition);
+            }
+            if (partition.active()) {
+                mDispatch.onTick(partition);
+            }
+        }
+        mRecovery.onTick(mDispatch::admit);
+        forgetLostSidecars();
+        mRouting.onTick();
+        mBoard.mOutbox.flushStops();
+    }
+
+    private void forgetLostSidecars() {
+        long oldest = mBoard.mNow - LOST_SIDECAR_MILLIS;
+        mBoard.mSidecars
+                .values()
+                .removeIf(view ->
+                        !view.mConnected && view.mDisconnectedAt < oldest && view.dropEnded());
+    }
+
+    private void onLeave() {
+        mBoard.mLeaving = true;
+        mMembership.leave();
+        mBoard.owned().forEach(mHandover::release);
+    }
+
+    private void onAnnounced(SidecarMessage.SidecarHello hello) {
+        SidecarView view =
+                mBoard.mSidecars.computeIfAbsent(
+                        hello.sidecar(), node -> new SidecarView(hello, -1));
+        boolean connecting = !view.mConnected;
+        view.mHello = hello;
+        view.mConnected = true;
+        view.mRevision = hello.revision();
+        mConfiguration.onAnnounced(view);
+        Optional<OwnedPartition> partition = ownerOf(view);
+        dropOlderLives(view);
+        if (connecting) {
+            view.mSealedEpoch = 0;
+            mWelcomes.welcome(view);
+            partition.ifPresent(owned -> mRecovery.inquireRunning(owned, view));
+        }
+        partition.ifPresent(owned -> mOwnership.onAnnounced(owned, view));
+        partition.ifPresent(mDispatch::dispatch);
+    }
+
+    private void dropOlderLives(SidecarView view) {
+        List<SidecarView> older =
+                mBoard.mSidecars.values().stream()
+                        .filter(other -> view.node().supersedes(other.node()))
+                        .toList();
+        for (SidecarView life : older) {
+            ownerOf(life).ifPresent(owned -> mResults.onSidecarDead(owned, life));
+            mBoard.mSidecars.remove(life.node());
+        }
+    }
+
+    private void onSidecarLost(NodeId node) {
+        Optional<SidecarView> lost = mBoard.sidecar(node);
+        if (lost.isEmpty()) {
+            return;
+        }
+        SidecarView view = lost.get();
+        view.mConnected = false;
+        view.mDisconnectedAt = mBoard.mNow;
+        view.mActiveStamp = 0;
+        view.mLatestStamp = 0;
+        view.mCandidateRound = 0;
+        ownerOf(view).ifPresent(owned -> mRecovery.onSidecarLost(owned, node, mDispatch::admit));
+    }
+
+    private void onSidecarSent(NodeId node, SidecarMessage message) {
+        Optional<SidecarView> sender = mBoard.sidecar(node);
+        if (sender.isEmpty() || !sender.get().mConnected) {
+            return;
+        }
+        SidecarView sidecar = sender.get();
+        if (message instanceof SidecarMessage.ConfigurationApplied applied) {
+            sidecar.mRevision = applied.revision();
+        }
+        ownerOf(sidecar).ifPresent(partition -> onOwnSidecarSent(partition, sidecar, message));
+    }
+
+    private void onOwnSidecarSent(
+            OwnedPartition partition, SidecarView sidecar, SidecarMessage message) {
+        boolean held =
+                switch (message) {
+                    case SidecarMessage.Sealed sealed ->
+                            mOwnership.onSealed(partition, sidecar, sealed);
+                    case SidecarMessage.LeaseRenewed renewed ->
+                            mOwnership.onRenewed(partition, sidecar, renewed);
+                    case SidecarMessage.TaskResults results -> {
+                        mResults.onResults(partition, sidecar, results.results());
+                        yield true;
+                    }
+                    case SidecarMessage.InquiryAnswer answer -> {
+                        mResults.onResults(partition, sidecar, mRecovery.resultsOfRunning(answer));
+                        mRecovery.onAnswer(partition, sidecar, answer, mDispatch::admit);
+                        yield true;
+                    }
+                    case SidecarMessage.SidecarHello hello -> true;
+                    case SidecarMessage.ConfigurationApplied applied -> true;
+                };
+        if (!held) {
+            mHandover.lose(partition);
+            return;
+        }
+        dispatchIfActive(partition);
+    }
+
+    private void dispatchIfActive(OwnedPartition partition) {
+        if (partition.active()) {
+            mDispatch.dispatch(partition);
+        }
+    }
+
+    private void onPeerSent(NodeId peer, PeerMessage message) {
+        mMembership.onHeard(peer);
+        switch (message) {
+            case PeerMessage.PeerHello hello ->
+                    mConfiguration.onPeerRevision(peer, hello.revision());
+            case PeerMessage.SubmitJob submit -> mRouting.onSubmitted(peer, submit);
+            case PeerMessage.JobAnswered answered ->
+                    mRouting.onAnswered(answered.token(), answered.answer());
+            case PeerMessage.JobMoved moved -> mRouting.onMoved(moved.token());
+            case PeerMessage.QueryJob query ->
+                    mBoard.mOutbox.sendToPeer(
+                            peer,
+                            new PeerMessage.JobAnswered(query.token(), mRouting.onQueried(query)));
+            case PeerMessage.CancelJob cancel -> mRouting.cancel(cancel.id(), cancel.service());
+            case PeerMessage.Ping ping ->
+                    mBoard.mOutbox.sendToPeer(
+                            peer, new PeerMessage.Pong(ping.sentAt(), mBoard.mHead.revision()));
+            case PeerMessage.Pong pong -> mConfiguration.onPeerRevision(peer, pong.revision());
+            case PeerMessage.ConfigurationPush push -> mConfiguration.apply(push.head());
+            case PeerMessage.StatusQuery query ->
+                    mBoard.mOutbox.sendToPeer(
+                            peer,
+                            new PeerMessage.StatusAnswer(query.token(), StoreJson.write(status())));
+            case PeerMessage.StatusAnswer answer ->
+                    throw new IllegalArgumentException("Taken by the process: " + answer);
+        }
+    }
+
+    private Optional<OwnedPartition> ownerOf(SidecarView sidecar) {
+        return Optional.ofNullable(mBoard.mOwned.get(sidecar.mPartition));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryStatus.java
@@ -0,0 +1,125 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What operators see of one entry.
+ *
+ * @param entry the name of the process
+ * @param incarnation its life
+ * @param revision the configuration in force
+ * @param ready whether callers should be sent here
+ * @param partitions the partitions that it owns
+ * @param targets the targets of these partitions
+ */
+public record EntryStatus(
+        String entry,
+        long incarnation,
+        long revision,
+        boolean ready,
+        List<PartitionStatus> partitions,
+        List<TargetStatus> targets) {
+
+    /**
+     * One partition.
+     *
+     * @param index its index
+     * @param epoch the number of the ownership
+     * @param phase how far a takeover has come
+     * @param jobsInHand jobs that have not ended
+     * @param tasksQueued tasks that wait for a slot
+     * @param idsRemembered ended jobs that are still known
+     */
+    public record PartitionStatus(
+            int index,
+            long epoch,
+            String phase,
+            int jobsInHand,
+            int tasksQueued,
+            int idsRemembered) {}
+
+    /**
+     * One target.
+     *
+     * @param target its name
+     * @param service its service
+     * @param dataCentre where it stands
+     * @param state whether and why it takes work
+     * @param slots the most tasks at a time
+     * @param running tasks that hold a slot
+     * @param speed the learned speed, 1 for the declared one
+     * @param revision the configuration that its sidecar has confirmed
+     * @param usable whether the owner may start tasks on it now
+     */
+    public record TargetStatus(
+            String target,
+            String service,
+            String dataCentre,
+            String state,
+            int slots,
+            int running,
+            double speed,
+            long revision,
+            boolean usable) {}
+
+    static EntryStatus of(EntryBoard board) {
+        List<PartitionStatus> partitions =
+                board.owned().stream().map(EntryStatus::partition).toList();
+        List<TargetStatus> targets =
+                board.mSidecars.values().stream()
+                        .filter(view -> board.mOwned.containsKey(view.mPartition))
+                        .map(EntryStatus::target)
+                        .toList();
+        boolean ready = board.mHead.revision() > 0 && !board.mLeaving;
+        return new EntryStatus(
+                board.self().name(),
+                board.self().incarnation(),
+                board.mHead.revision(),
+                ready,
+                partitions,
+                targets);
+    }
+
+    /** Returns the targets that have not confirmed the entry's revision. */
+    public List<String> unconfirmed(long wanted) {
+        return targets.stream()
+                .filter(target -> target.revision() < wanted && !target.state().equals("lost"))
+                .map(TargetStatus::target)
+                .toList();
+    }
+
+    private static PartitionStatus partition(OwnedPartition partition) {
+        int queued = partition.mBook.queues().values().stream().mapToInt(JobQueue::tasks).sum();
+        return new PartitionStatus(
+                partition.mIndex,
+                partition.mEpoch,
+                partition.mPhase.name(),
+                partition.mBook.inHand().size(),
+                queued,
+                partition.mBook.remembered());
+    }
+
+    private static TargetStatus target(SidecarView view) {
+        return new TargetStatus(
+                view.mHello.target(),
+                view.mHello.service(),
+                view.mHello.dataCentre(),
+                state(view),
+                view.slots(),
+                view.mRunning.size(),
+                view.mSpeed,
+                view.mRevision,
+                view.mActiveStamp > 0);
+    }
+
+    private static String state(SidecarView view) {
+        Optional<String> trouble =
+                !view.mConnected
+                        ? Optional.of("lost")
+                        : !view.mHello.serving()
+                                ? Optional.of("leaving")
+                                : view.mDrained ? Optional.of("drained") : Optional.empty();
+        return trouble.orElse(view.mHealth.onProbation() ? "probation" : "serving");
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/HeldSubmission.java
@@ -0,0 +1,11 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import org.jackdawsaddle.job.JobRequest;
+
+/**
+ * A submission that waits for its partition to be sealed.
+ *
+ * @param request the job
+ * @param waiter who waits for the answer
+ */
+record HeldSubmission(JobRequest request, Waiter waiter) {}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Job.java
@@ -0,0 +1,161 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.JobKind;
+import org.jackdawsaddle.job.JobAnswer;
+import org.jackdawsaddle.job.JobRequest;
+
+/** A submission in the memory of its owner. */
+final class Job {
+    /** Where a task stands. */
+    private enum TaskState {
+        QUEUED,
+        STARTED,
+        COMPLETED,
+        FAILED
+    }
+
+    final JobRequest mRequest;
+    final JobKind mKind;
+    final List<Waiter> mWaiters = new ArrayList<>();
+    final Deque<Integer> mQueued = new ArrayDeque<>();
+    final Set<NodeId> mTried = new HashSet<>();
+    final long mArrivedAt;
+    long mPriority;
+    boolean mAdmitted;
+    int mAttempts;
+    private final TaskState[] mStates;
+    private final String[] mAnswers;
+    private int mCompleted;
+    private int mTouched;
+    private JobAnswer mAnswer;
+
+    Job(JobRequest request, JobKind kind, long arrivedAt) {
+        mRequest = request;
+        mKind = kind;
+        mArrivedAt = arrivedAt;
+        mStates = new TaskState[request.tasks().size()];
+        mAnswers = new String[request.tasks().size()];
+        Arrays.fill(mStates, TaskState.QUEUED);
+    }
+
+    int tasks() {
+        return mStates.length;
+    }
+
+    int completed() {
+        return mCompleted;
+    }
+
+    long deadline() {
+        return mRequest.deadline();
+    }
+
+    Optional<JobAnswer> answer() {
+        return Optional.ofNullable(mAnswer);
+    }
+
+    boolean ended() {
+        return mAnswer != null;
+    }
+
+    void end(JobAnswer answer) {
+        mAnswer = answer;
+        mQueued.clear();
+        Arrays.fill(mAnswers, null);
+    }
+
+    /** Returns whether a task was started, or may have been. */
+    boolean touched() {
+        return mTouched > 0;
+    }
+
+    /** Returns whether every task was started, or may have been. */
+    boolean allTouched() {
+        return Arrays.stream(mStates).noneMatch(state -> state == TaskState.QUEUED);
+    }
+
+    boolean queued(int index) {
+        return mStates[index] == TaskState.QUEUED;
+    }
+
+    /** Returns whether the request may be run once more after a failure. */
+    boolean retriable() {
+        return mKind.idempotent() && tasks() == 1;
+    }
+
+    /** Returns the declared run time of a task at speed 1, in milliseconds. */
+    long expectedMillis(int index) {
+        long declared = mRequest.tasks().get(index).expectedMillis();
+        return declared > 0 ? declared : mKind.typicalMillis();
+    }
+
+    /** Returns the declared run time of all tasks at speed 1, in milliseconds. */
+    long workMillis() {
+        long work = 0;
+        for (int index = 0; index < mStates.length; index++) {
+            work += expectedMillis(index);
+        }
+        return work;
+    }
+
+    /** Puts every task that was not started in line. */
+    void queueUnstarted() {
+        for (int index = 0; index < mStates.length; index++) {
+            if (queued(index)) {
+                mQueued.add(index);
+            }
+        }
+    }
+
+    void started(int index) {
+        if (queued(index)) {
+            mTouched++;
+        }
+        mStates[index] = TaskState.STARTED;
+    }
+
+    /** Puts a task back in line whose sidecar proved that it did not start. */
+    void notStarted(int index) {
+        if (mStates[index] == TaskState.STARTED) {
+            mTouched--;
+            mStates[index] = TaskState.QUEUED;
+            mQueued.addFirst(index);
+        }
+    }
+
+    /** Puts the task of an idempotent request back in line after a failure. */
+    void retry(int index) {
+        mStates[index] = TaskState.QUEUED;
+        mQueued.addFirst(index);
+    }
+
+    /** Keeps the answer of a task; returns whether the job is whole by it. */
+    boolean completed(int index, String answer) {
+        if (mStates[index] == TaskState.COMPLETED) {
+            return false;
+        }
+        started(index);
+        mStates[index] = TaskState.COMPLETED;
+        mAnswers[index] = answer;
+        mCompleted++;
+        return mCompleted == mStates.length;
+    }
+
+    void failed(int index) {
+        started(index);
+        mStates[index] = TaskState.FAILED;
+    }
+
+    JobAnswer whole() {
+        return new JobAnswer.Complete(Arrays.asList(mAnswers));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/JobQueue.java
@@ -0,0 +1,67 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** The jobs of one service that have tasks in line, in the order in which they are served. */
+final class JobQueue {
+    private final TreeSet<Job> mJobs =
+            new TreeSet<>(
+                    Comparator.comparingLong((Job job) -> job.mPriority)
+                            .thenComparing(job -> job.mRequest.id()));
+    private int mTasks;
+    private long mWorkMillis;
+
+    Iterable<Job> jobs() {
+        return mJobs;
+    }
+
+    boolean isEmpty() {
+        return mJobs.isEmpty();
+    }
+
+    int tasks() {
+        return mTasks;
+    }
+
+    /** Returns the declared run time at speed 1 of all tasks in line, in milliseconds. */
+    long workMillis() {
+        return mWorkMillis;
+    }
+
+    /** Puts every task of the job that was not started in line. */
+    void add(Job job) {
+        job.queueUnstarted();
+        job.mQueued.forEach(index -> count(job, index, 1));
+        if (!job.mQueued.isEmpty()) {
+            mJobs.add(job);
+        }
+    }
+
+    void remove(Job job) {
+        if (mJobs.remove(job)) {
+            job.mQueued.forEach(index -> count(job, index, -1));
+        }
+    }
+
+    /** Takes the next task of the job out of the line; returns its index. */
+    int take(Job job) {
+        int index = job.mQueued.remove();
+        count(job, index, -1);
+        if (job.mQueued.isEmpty()) {
+            mJobs.remove(job);
+        }
+        return index;
+    }
+
+    /** Puts the task back that the job has at the head of its line. */
+    void putBack(Job job) {
+        count(job, job.mQueued.element(), 1);
+        mJobs.add(job);
+    }
+
+    private void count(Job job, int index, int sign) {
+        mTasks += sign;
+        mWorkMillis += sign * job.expectedMillis(index);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Outbox.java
@@ -0,0 +1,86 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.EntryMessage.StartTasks;
+import org.jackdawsaddle.internal.message.EntryMessage.StopTasks;
+import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.message.StartTask;
+import org.jackdawsaddle.internal.message.TaskKey;
+import org.jackdawsaddle.job.JobAnswer;
+
+/** Collects actions; starts and stops for the same sidecar leave as one message each. */
+final class Outbox {
+    private record Batch(NodeId sidecar, int partition, long epoch, long stamp) {}
+
+    private final List<EntryAction> mActions = new ArrayList<>();
+    private final Map<Batch, List<StartTask>> mStarts = new LinkedHashMap<>();
+    private final Map<Batch, List<TaskKey>> mStops = new LinkedHashMap<>();
+
+    void answerCaller(long token, JobAnswer answer) {
+        mActions.add(new EntryAction.AnswerCaller(token, answer));
+    }
+
+    void send(NodeId sidecar, EntryMessage message) {
+        mActions.add(new EntryAction.SendToSidecar(sidecar, message));
+    }
+
+    void sendToPeer(NodeId peer, PeerMessage message) {
+        mActions.add(new EntryAction.SendToPeer(peer, message));
+    }
+
+    void connect(NodeId peer, String address) {
+        mActions.add(new EntryAction.ConnectPeer(peer, address));
+    }
+
+    void disconnect(NodeId peer) {
+        mActions.add(new EntryAction.DisconnectPeer(peer));
+    }
+
+    void write(String key, long expectedVersion, Object value, Optional<Long> leaseMillis) {
+        String json = StoreJson.write(value);
+        mActions.add(new EntryAction.WriteStore(key, expectedVersion, json, leaseMillis));
+    }
+
+    void read(String key) {
+        mActions.add(new EntryAction.ReadStore(key));
+    }
+
+    void start(SidecarView sidecar, OwnedPartition partition, StartTask task) {
+        mStarts.computeIfAbsent(
+                        batch(sidecar, partition, sidecar.mActiveStamp), key -> new ArrayList<>())
+                .add(task);
+    }
+
+    void stop(SidecarView sidecar, OwnedPartition partition, TaskKey task) {
+        mStops.computeIfAbsent(batch(sidecar, partition, 0), key -> new ArrayList<>()).add(task);
+    }
+
+    /** Returns and removes all actions but the stops, which wait for {@link #flushStops}. */
+    List<EntryAction> drain() {
+        mStarts.forEach((batch, tasks) ->
+                send(
+                        batch.sidecar(),
+                        new StartTasks(batch.partition(), batch.epoch(), batch.stamp(), tasks)));
+        mStarts.clear();
+        List<EntryAction> actions = List.copyOf(mActions);
+        mActions.clear();
+        return actions;
+    }
+
+    /** Sends the stops collected since the last call, so that a wave costs few messages. */
+    void flushStops() {
+        mStops.forEach((batch, tasks) ->
+                send(batch.sidecar(), new StopTasks(batch.partition(), batch.epoch(), tasks)));
+        mStops.clear();
+    }
+
+    private static Batch batch(SidecarView sidecar, OwnedPartition partition, long stamp) {
+        return new Batch(sidecar.node(), partition.mIndex, partition.mEpoch, stamp);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionMap.java
@@ -0,0 +1,53 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+import org.jackdawsaddle.config.ServiceObject;
+import org.jackdawsaddle.job.SubmissionId;
+
+/** Says which partition a submission or a target belongs to. */
+public final class PartitionMap {
+    private final int mPartitions;
+
+    /** Creates the map for the given number of partitions, at least 1. */
+    public PartitionMap(int partitions) {
+        mPartitions = partitions;
+    }
+
+    /** Returns the partition that decides for a submission to the service. */
+    public int partitionOf(ServiceObject service, SubmissionId id) {
+        return partition(service, id.shard() % spread(service));
+    }
+
+    /** Returns the partition that uses a target of the service. */
+    public int partitionOf(ServiceObject service, String target) {
+        return partition(service, hash(target) % spread(service));
+    }
+
+    /** Returns the id changed so that the given partition decides for it, if it can be. */
+    public SubmissionId bind(ServiceObject service, SubmissionId id, int partition) {
+        int offset = Math.floorMod(partition - hash(service.name()), mPartitions);
+        int shard = id.shard() - id.shard() % spread(service) + offset;
+        return id.withShard(shard >= 1 << Short.SIZE ? offset : shard);
+    }
+
+    /** Returns whether work of the service can belong to the partition. */
+    public boolean serves(ServiceObject service, int partition) {
+        return Math.floorMod(partition - hash(service.name()), mPartitions) < spread(service);
+    }
+
+    /** Returns a number that is the same in every process, at least 0. */
+    static int hash(String text) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(text.getBytes(StandardCharsets.UTF_8));
+        return (int) (checksum.getValue() & Integer.MAX_VALUE);
+    }
+
+    private int partition(ServiceObject service, int offset) {
+        return (hash(service.name()) % mPartitions + offset) % mPartitions;
+    }
+
+    private int spread(ServiceObject service) {
+        return Math.clamp(service.partitions(), 1, mPartitions);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionRecord.java
@@ -0,0 +1,49 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.List;
+import java.util.Optional;
+import org.jackdawsaddle.NodeId;
+
+/**
+ * A partition as the store keeps it.
+ *
+ * @param index the index of the partition, from 0
+ * @param epoch the number of the ownership, one more with each claim
+ * @param owner the entry that decides for the partition; null after it was released
+ * @param roster the sidecars that owners may have used within the lifetime of ids
+ */
+public record PartitionRecord(int index, long epoch, NodeId owner, List<RosterMember> roster) {
+
+    /** Copies the roster. */
+    public PartitionRecord {
+        roster = List.copyOf(roster);
+    }
+
+    /** Returns the owner, or empty after it was released. */
+    @JsonIgnore
+    public Optional<NodeId> holder() {
+        return Optional.ofNullable(owner);
+    }
+
+    /** Returns the record after a claim by the given entry. */
+    public PartitionRecord claimedBy(NodeId entry) {
+        return new PartitionRecord(index, epoch + 1, entry, roster);
+    }
+
+    /** Returns the record after its owner has let go of it. */
+    public PartitionRecord released() {
+        return new PartitionRecord(index, epoch, null, roster);
+    }
+
+    /** Returns the record with another roster. */
+    public PartitionRecord withRoster(List<RosterMember> newRoster) {
+        return new PartitionRecord(index, epoch, owner, newRoster);
+    }
+
+    /** Returns the sidecars on which tasks may be started. */
+    @JsonIgnore
+    public List<NodeId> inUse() {
+        return roster.stream().filter(RosterMember::inUse).map(RosterMember::sidecar).toList();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PeerView.java
@@ -0,0 +1,20 @@
+package org.jackdawsaddle.internal.dispatch;
+
+/** What an entry knows of one life of a peer. */
+final class PeerView {
+    final String mAddress;
+    boolean mConnected;
+    long mHeardAt;
+    long mRevision;
+
+    PeerView(String address, long now) {
+        mAddress = address;
+        mHeardAt = now;
+    }
+
+    /** Returns whether the peer has shown no sign of life for too long. */
+    boolean silent(long now) {
+        long patience = mConnected ? Timing.PEER_SILENCE_MILLIS : Timing.PEER_REFUSED_MILLIS;
+        return now - mHeardAt > patience;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
@@ -0,0 +1,193 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.internal.message.EntryMessage.Inquiry;
+import org.jackdawsaddle.internal.message.SidecarMessage.InquiryAnswer;
+import org.jackdawsaddle.internal.message.TaskKey;
+import org.jackdawsaddle.internal.message.TaskResult;
+import org.jackdawsaddle.job.SubmissionId;
+
+/**
+ * Finds out what an earlier owner started of a submission, and what became of tasks whose sidecar
+ * was out of reach.
+ *
+ * <p>Submissions in doubt are collected for one tick, so that a takeover costs few messages.
+ */
+final class RecoveryController {
+    private static final class OpenInquiry {
+        final Set<NodeId> mAwaited = new HashSet<>();
+        final Map<SubmissionId, Job> mJobs = new HashMap<>();
+    }
+
+    private final EntryBoard mBoard;
+    private final JobEnder mEnder;
+    private final Map<OwnedPartition, Map<SubmissionId, Job>> mCollected = new LinkedHashMap<>();
+    private final Map<Long, OpenInquiry> mOpen = new HashMap<>();
+    private final Map<Long, Set<TaskKey>> mRunningAsked = new HashMap<>();
+    private long mNumber;
+
+    RecoveryController(EntryBoard board, JobEnder ender) {
+        mBoard = board;
+        mEnder = ender;
+    }
+
+    /** Holds a job until every sidecar has told what it knows of it. */
+    void inquire(OwnedPartition partition, Job job) {
+        mBoard.count(EntryCounter.SUBMISSIONS_IN_DOUBT);
+        partition.mBook.add(job);
+        mCollected
+                .computeIfAbsent(partition, key -> new LinkedHashMap<>())
+                .put(job.mRequest.id(), job);
+    }
+
+    /** Asks a sidecar that is back in reach what became of the tasks it was given. */
+    void inquireRunning(OwnedPartition partition, SidecarView sidecar) {
+        List<SubmissionId> ids =
+                sidecar.mRunning.keySet().stream().map(TaskKey::id).distinct().toList();
+        if (!ids.isEmpty()) {
+            mNumber++;
+            mRunningAsked.put(mNumber, Set.copyOf(sidecar.mRunning.keySet()));
+            mBoard.mOutbox.send(
+                    sidecar.node(), new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
+        }
+    }
+
+    /** Sends the inquiries collected since the last call. */
+    void onTick(BiConsumer<OwnedPartition, Job> admit) {
+        Map<OwnedPartition, Map<SubmissionId, Job>> collected = new LinkedHashMap<>(mCollected);
+        mCollected.clear();
+        collected.forEach((partition, jobs) -> ask(partition, jobs, admit));
+    }
+
+    /** Takes an answer; admits the jobs of which every sidecar has told. */
+    void onAnswer(
+            OwnedPartition partition,
+            SidecarView sidecar,
+            InquiryAnswer answer,
+            BiConsumer<OwnedPartition, Job> admit) {
+        OpenInquiry open = mOpen.get(answer.number());
+        if (open == null) {
+            return;
+        }
+        for (TaskResult known : answer.known()) {
+            adopt(partition, sidecar, open.mJobs.get(known.task().id()), known);
+        }
+        open.mAwaited.remove(sidecar.node());
+        finishIfWhole(partition, answer.number(), open, admit);
+    }
+
+    /** Stops waiting for a sidecar that is out of reach. */
+    void onSidecarLost(
+            OwnedPartition partition, NodeId sidecar, BiConsumer<OwnedPartition, Job> admit) {
+        for (Map.Entry<Long, OpenInquiry> entry : List.copyOf(mOpen.entrySet())) {
+            OpenInquiry open = entry.getValue();
+            if (open.mAwaited.remove(sidecar)) {
+                partition.mUnknowableUntil =
+                        Math.max(partition.mUnknowableUntil, partition.mDoubtUntil);
+                finishIfWhole(partition, entry.getKey(), open, admit);
+            }
+        }
+    }
+
+    private void ask(
+            OwnedPartition partition,
+            Map<SubmissionId, Job> jobs,
+            BiConsumer<OwnedPartition, Job> admit) {
+        OpenInquiry open = new OpenInquiry();
+        open.mJobs.putAll(jobs);
+        mNumber++;
+        mOpen.put(mNumber, open);
+        List<SubmissionId> ids = List.copyOf(jobs.keySet());
+        for (NodeId member : partition.inUse()) {
+            Optional<SidecarView> sidecar = mBoard.sidecar(member);
+            if (sidecar.isPresent() && sidecar.get().mConnected) {
+                open.mAwaited.add(member);
+                mBoard.mOutbox.send(
+                        member, new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
+            } else {
+                partition.mUnknowableUntil =
+                        Math.max(partition.mUnknowableUntil, partition.mDoubtUntil);
+            }
+        }
+        finishIfWhole(partition, mNumber, open, admit);
+    }
+
+    private void finishIfWhole(
+            OwnedPartition partition,
+            long number,
+            OpenInquiry open,
+            BiConsumer<OwnedPartition, Job> admit) {
+        if (!open.mAwaited.isEmpty()) {
+            return;
+        }
+        mOpen.remove(number);
+        for (Job job : open.mJobs.values()) {
+            if (!job.ended()) {
+                conclude(partition, job, admit);
+            }
+        }
+    }
+
+    private void conclude(
+            OwnedPartition partition, Job job, BiConsumer<OwnedPartition, Job> admit) {
+        boolean unknowable = job.mRequest.id().unixMillis() <= partition.mUnknowableUntil;
+        boolean accounted = job.allTouched();
+        if (unknowable && !accounted && !job.retriable()) {
+            String detail = "A sidecar that may have started it is out of reach.";
+            mEnder.fail(partition, job, ErrorCode.TARGET_LOST, detail);
+            return;
+        }
+        if (job.completed() == job.tasks()) {
+            mEnder.end(partition, job, job.whole());
+            return;
+        }
+        admit.accept(partition, job);
+    }
+
+    private void adopt(OwnedPartition partition, SidecarView sidecar, Job job, TaskResult known) {
+        if (job == null || job.ended()) {
+            return;
+        }
+        int index = known.task().index();
+        switch (known.state()) {
+            case COMPLETED -> job.completed(index, known.body());
+            case RUNNING -> {
+                job.started(index);
+                long expected = job.expectedMillis(index);
+                sidecar.add(new RunningTask(known.task(), job, expected, job.mKind.demand()));
+            }
+            case FAILED -> {
+                job.failed(index);
+                mEnder.fail(partition, job, ErrorCode.TASK_FAILED, known.body());
+            }
+            case FORGOTTEN ->
+                    mEnder.fail(partition, job, ErrorCode.ANSWER_EXPIRED, sidecar.mHello.target());
+            case NOT_RUN -> mBoard.count(EntryCounter.TASKS_REFUSED);
+        }
+    }
+
+    /**
+     * Completes an answer about running tasks: what the sidecar does not know it never received.
+     *
+     * @return one result for each task asked for, or none if the inquiry was of another type
+     */
+    List<TaskResult> resultsOfRunning(InquiryAnswer answer) {
+        Set<TaskKey> asked = mRunningAsked.remove(answer.number());
+        if (asked == null) {
+            return List.of();
+        }
+        Map<TaskKey, TaskResult> results = new LinkedHashMap<>();
+        asked.forEach(key -> results.put(key, TaskResult.refused(key, TaskResult.Refusal.STALE)));
+        answer.known().forEach(known -> results.computeIfPresent(known.task(), (k, r) -> known));
+        return List.copyOf(results.values());
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RequestCheck.java
@@ -0,0 +1,52 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.Optional;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.config.JobKind;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.job.JobAnswer;
+import org.jackdawsaddle.job.JobRequest;
+
+/** Checks a caller's job against the configuration in force. */
+final class RequestCheck {
+    private final EntryBoard mBoard;
+
+    RequestCheck(EntryBoard board) {
+        mBoard = board;
+    }
+
+    /** Returns why the job cannot be accepted, naming the field, or empty if it can. */
+    Optional<JobAnswer> refusal(JobRequest request) {
+        if (mBoard.mHead.revision() == 0 || mBoard.mMap.isEmpty()) {
+            return refuse(ErrorCode.CONFIGURATION_MISSING, "This entry has none yet.");
+        }
+        ConfigurationSet set = mBoard.mHead.set();
+        Optional<JobKind> kind = set.jobKind(request.kind());
+        if (kind.isEmpty()) {
+            return refuse(
+                    ErrorCode.REQUEST_INVALID, "kind: no job kind \"" + request.kind() + "\"");
+        }
+        if (set.team(request.team()).isEmpty()) {
+            return refuse(ErrorCode.REQUEST_INVALID, "team: no team \"" + request.team() + "\"");
+        }
+        if (request.tasks().isEmpty()) {
+            return refuse(ErrorCode.REQUEST_INVALID, "tasks: a job has at least one task");
+        }
+        if (request.tasks().size() > kind.get().maxTasks()) {
+            String detail =
+                    "tasks: "
+                            + request.tasks().size()
+                            + " are more than maxTasks "
+                            + kind.get().maxTasks();
+            return refuse(ErrorCode.REQUEST_INVALID, detail);
+        }
+        if (request.deadline() > 0 && request.deadline() <= mBoard.mNow) {
+            return refuse(ErrorCode.REQUEST_INVALID, "deadline: lies in the past");
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<JobAnswer> refuse(ErrorCode code, String detail) {
+        return Optional.of(new JobAnswer.NotRun(code, detail));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RoutingController.java
@@ -0,0 +1,266 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.config.JobKind;
+import org.jackdawsaddle.config.ServiceObject;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.internal.message.PeerMessage.CancelJob;
+import org.jackdawsaddle.internal.message.PeerMessage.JobMoved;
+import org.jackdawsaddle.internal.message.PeerMessage.QueryJob;
+import org.jackdawsaddle.internal.message.PeerMessage.SubmitJob;
+import org.jackdawsaddle.job.JobAnswer;
+import org.jackdawsaddle.job.JobRequest;
+import org.jackdawsaddle.job.SubmissionId;
+
+/**
+ * Brings each job to the owner of its partition and keeps it until it is answered, so that the loss
+ * of an owner costs time and no answer.
+ */
+final class RoutingController {
+    private static final long ANSWER_GRACE_MILLIS = 1_000;
+    private static final long REROUTE_MILLIS = 100;
+
+    private static final class Route {
+        final JobRequest mRequest;
+        final int mPartition;
+        Optional<NodeId> mSentTo = Optional.empty();
+        long mNotBefore;
+
+        Route(JobRequest request, int partition) {
+            mRequest = request;
+            mPartition = partition;
+        }
+    }
+
+    private final EntryBoard mBoard;
+    private final DispatchController mDispatch;
+    private final Map<Long, Route> mRoutes = new LinkedHashMap<>();
+
+    RoutingController(EntryBoard board, DispatchController dispatch) {
+        mBoard = board;
+        mDispatch = dispatch;
+    }
+
+    /** Takes a caller's job: refuses what is not valid and brings the rest to its owner. */
+    void submit(long token, JobRequest request) {
+        mBoard.count(EntryCounter.JOBS_SUBMITTED);
+        Optional<JobAnswer> refusal = new RequestCheck(mBoard).refusal(request);
+        if (refusal.isPresent()) {
+            mBoard.mOutbox.answerCaller(token, refusal.get());
+            return;
+        }
+        JobKind kind = mBoard.mHead.set().jobKind(request.kind()).orElseThrow();
+        long latest = mBoard.mNow + kind.timeoutMillis();
+        JobRequest dated = request.deadline() > 0 ? request : request.withDeadline(latest);
+        route(token, dated);
+    }
+
+    /** Takes a job that a peer has passed on. */
+    void onSubmitted(NodeId peer, SubmitJob submit) {
+        JobRequest request = submit.request().withDeadline(mBoard.mNow + submit.remainingMillis());
+        Optional<OwnedPartition> owned =
+                serviceOf(request).flatMap(service -> ownedFor(service, request.id()));
+        if (owned.isPresent()) {
+            mDispatch.submit(owned.get(), request, new Waiter.Peer(peer, submit.token()));
+        } else {
+            mBoard.mOutbox.sendToPeer(peer, new JobMoved(submit.token()));
+        }
+    }
+
+    /** Takes a peer's answer to a job passed on, and gives it to the caller. */
+    void onAnswered(long token, JobAnswer answer) {
+        mRoutes.remove(token);
+        mBoard.mOutbox.answerCaller(token, answer);
+    }
+
+    /** Takes back a job whose partition has another owner. */
+    void onMoved(long token) {
+        Route route = mRoutes.get(token);
+        if (route != null) {
+            route.mSentTo = Optional.empty();
+            route.mNotBefore = mBoard.mNow + REROUTE_MILLIS;
+        }
+    }
+
+    /** Takes back the jobs that were passed on to a peer that is out of reach. */
+    void onPeerLost(NodeId peer) {
+        for (Route route : mRoutes.values()) {
+            if (route.mSentTo.filter(peer::equals).isPresent()) {
+                route.mSentTo = Optional.empty();
+            }
+        }
+    }
+
+    /** Brings the jobs that wait for an owner on their way, and gives up those out of time. */
+    void onTick() {
+        if (mRoutes.isEmpty()) {
+            return;
+        }
+        for (Map.Entry<Long, Route> entry : List.copyOf(mRoutes.entrySet())) {
+            Route route = entry.getValue();
+            long giveUpAt = route.mRequest.deadline() + ANSWER_GRACE_MILLIS;
+            if (mBoard.mNow >= giveUpAt) {
+                mRoutes.remove(entry.getKey());
+                String detail = "partition " + route.mPartition;
+                mBoard.mOutbox.answerCaller(
+                        entry.getKey(), new JobAnswer.Failed(ErrorCode.OWNER_UNREACHABLE, detail));
+            } else {
+                forgetSilentOwner(route);
+                send(entry.getKey(), route);
+            }
+        }
+    }
+
+    /** Returns the unfinished jobs of a lost partition to their callers' entries. */
+    void giveBack(OwnedPartition partition) {
+        for (Job job : partition.mBook.inHand()) {
+            job.mWaiters.forEach(waiter -> giveBack(job.mRequest, waiter));
+        }
+        List<HeldSubmission> held = new ArrayList<>(partition.mHeld);
+        held.forEach(submission -> giveBack(submission.request(), submission.waiter()));
+        List<HeldRefusal> refusals = new ArrayList<>(partition.mRefusals);
+        refusals.forEach(refusal -> giveBack(refusal.request(), refusal.waiter()));
+    }
+
+    void query(long token, SubmissionId id, String service) {
+        Optional<ServiceObject> object = mBoard.mHead.set().service(service);
+        if (object.isEmpty() || mBoard.mMap.isEmpty()) {
+            answerUnknown(token);
+            return;
+        }
+        Optional<OwnedPartition> owned = ownedFor(object.get(), id);
+        if (owned.isPresent()) {
+            mBoard.mOutbox.answerCaller(token, state(owned.get(), id));
+            return;
+        }
+        Optional<NodeId> owner = ownerOf(mBoard.mMap.get().partitionOf(object.get(), id));
+        if (owner.isEmpty()) {
+            String detail = "id " + id;
+            mBoard.mOutbox.answerCaller(
+                    token, new JobAnswer.Failed(ErrorCode.OWNER_UNREACHABLE, detail));
+            return;
+        }
+        mBoard.mOutbox.sendToPeer(owner.get(), new QueryJob(token, id, service));
+    }
+
+    JobAnswer onQueried(QueryJob query) {
+        return mBoard.mHead
+                .set()
+                .service(query.service())
+                .flatMap(service -> ownedFor(service, query.id()))
+                .map(partition -> state(partition, query.id()))
+                .orElse(new JobAnswer.Failed(ErrorCode.OWNER_UNREACHABLE, "id " + query.id()));
+    }
+
+    void cancel(SubmissionId id, String service) {
+        Optional<ServiceObject> object = mBoard.mHead.set().service(service);
+        if (object.isEmpty() || mBoard.mMap.isEmpty()) {
+            return;
+        }
+        Optional<OwnedPartition> owned = ownedFor(object.get(), id);
+        if (owned.isPresent()) {
+            mDispatch.cancel(owned.get(), id);
+            return;
+        }
+        ownerOf(mBoard.mMap.get().partitionOf(object.get(), id))
+                .ifPresent(owner -> mBoard.mOutbox.sendToPeer(owner, new CancelJob(id, service)));
+    }
+
+    int waiting() {
+        return mRoutes.size();
+    }
+
+    private void route(long token, JobRequest request) {
+        ServiceObject service = serviceOf(request).orElseThrow();
+        int partition = mBoard.mMap.orElseThrow().partitionOf(service, request.id());
+        OwnedPartition owned = mBoard.mOwned.get(partition);
+        if (owned != null) {
+            mDispatch.submit(owned, request, new Waiter.LocalCaller(token));
+            return;
+        }
+        Route route = new Route(request, partition);
+        mRoutes.put(token, route);
+        send(token, route);
+    }
+
+    private void send(long token, Route route) {
+        if (route.mSentTo.isPresent() || mBoard.mNow < route.mNotBefore) {
+            return;
+        }
+        OwnedPartition owned = mBoard.mOwned.get(route.mPartition);
+        if (owned != null) {
+            mRoutes.remove(token);
+            mDispatch.submit(owned, route.mRequest, new Waiter.LocalCaller(token));
+            return;
+        }
+        Optional<NodeId> owner = ownerOf(route.mPartition);
+        if (owner.isPresent()) {
+            route.mSentTo = owner;
+            mBoard.count(EntryCounter.JOBS_FORWARDED);
+            long remaining = Math.max(0, route.mRequest.deadline() - mBoard.mNow);
+            mBoard.mOutbox.sendToPeer(owner.get(), new SubmitJob(token, route.mRequest, remaining));
+        }
+    }
+
+    private void forgetSilentOwner(Route route) {
+        boolean current =
+                route.mSentTo.isPresent() && route.mSentTo.equals(ownerOf(route.mPartition));
+        if (!current) {
+            route.mSentTo = Optional.empty();
+        }
+    }
+
+    private void giveBack(JobRequest request, Waiter waiter) {
+        switch (waiter) {
+            case Waiter.LocalCaller caller -> {
+                ServiceObject service = serviceOf(request).orElseThrow();
+                int partition = mBoard.mMap.orElseThrow().partitionOf(service, request.id());
+                mRoutes.put(caller.token(), new Route(request, partition));
+            }
+            case Waiter.Peer peer ->
+                    mBoard.mOutbox.sendToPeer(peer.peer(), new JobMoved(peer.token()));
+        }
+    }
+
+    private void answerUnknown(long token) {
+        mBoard.mOutbox.answerCaller(
+                token, new JobAnswer.Failed(ErrorCode.JOB_UNKNOWN, "service parameter"));
+    }
+
+    private JobAnswer state(OwnedPartition partition, SubmissionId id) {
+        Optional<Job> job = partition.mBook.inHand(id);
+        if (job.isPresent()) {
+            return new JobAnswer.Pending(job.get().completed(), job.get().tasks());
+        }
+        return partition
+                .mBook
+                .ended(id)
+                .map(EndedJob::answer)
+                .orElse(new JobAnswer.Failed(ErrorCode.JOB_UNKNOWN, "id " + id));
+    }
+
+    private Optional<ServiceObject> serviceOf(JobRequest request) {
+        ConfigurationSet set = mBoard.mHead.set();
+        return set.jobKind(request.kind()).flatMap(kind -> set.service(kind.service()));
+    }
+
+    private Optional<OwnedPartition> ownedFor(ServiceObject service, SubmissionId id) {
+        return mBoard.mMap.map(map -> mBoard.mOwned.get(map.partitionOf(service, id)));
+    }
+
+    /** Returns the connected peer that owns the partition, if there is one. */
+    private Optional<NodeId> ownerOf(int partition) {
+        return Optional.ofNullable(mBoard.mPartitions.get(partition))
+                .flatMap(record -> record.value().holder())
+                .filter(owner ->
+                        Optional.ofNullable(mBoard.mPeers.get(owner))
+                                .filter(peer -> peer.mConnected)
+                                .isPresent());
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
@@ -0,0 +1,54 @@
+package org.jackdawsaddle.internal.dispatch;
+
+/** The spans of time on which entries and sidecars have to agree, in milliseconds. */
+public final class Timing {
+    /** How often controllers look at their deadlines. */
+    public static final long TICK_MILLIS = 20;
+
+    /** How long an owner may start tasks after a majority of its roster confirmed the lease. */
+    public static final long LEASE_MILLIS = 6_000;
+
+    /** How often an owner renews its lease. */
+    public static final long LEASE_RENEWAL_MILLIS = 2_000;
+
+    /** How long a confirmed lease allows an owner to say that nothing was started. */
+    public static final long REFUSAL_LEASE_MILLIS = 500;
+
+    /** How much two clocks may drift apart during one lease. */
+    public static final long LEASE_SLACK_MILLIS = 250;
+
+    /** How long a submission id is valid, counted from its timestamp. */
+    public static final long ID_LIFETIME_MILLIS = 300_000;
+
+    /** How far an id's timestamp may lie ahead of the clock that checks it. */
+    public static final long ID_AHEAD_MILLIS = 5_000;
+
+    /** How much the clocks of two machines may differ before ids are refused wrongly. */
+    public static final long CLOCK_TOLERANCE_MILLIS = 10_000;
+
+    /** The lease of an entry's own record in the store. */
+    public static final long MEMBERSHIP_LEASE_MILLIS = 10_000;
+
+    /** How often an entry renews its record in the store. */
+    public static final long MEMBERSHIP_RENEWAL_MILLIS = 3_000;
+
+    /** How often an entry pings its peers. */
+    public static final long PEER_PING_MILLIS = 500;
+
+    /** After how long without a sign of life another entry may take over a peer's partitions. */
+    public static final long PEER_SILENCE_MILLIS = 2_000;
+
+    /** The same, where the peer's address refuses connections. */
+    public static final long PEER_REFUSED_MILLIS = 1_000;
+
+    /** The delay of each further candidate for a vacant partition. */
+    public static final long CLAIM_STEP_MILLIS = 300;
+
+    /** How long a disconnected sidecar stays in the roster. */
+    public static final long ROSTER_GRACE_MILLIS = 10_000;
+
+    /** The pause before an unanswered store call is repeated. */
+    public static final long STORE_RETRY_MILLIS = 500;
+
+    private Timing() {}
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
@@ -0,0 +1,133 @@
+package org.jackdawsaddle.internal.entry;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import org.jackdawsaddle.config.ConfigurationChecker;
+import org.jackdawsaddle.config.ConfigurationPublisher;
+import org.jackdawsaddle.config.Finding;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.errors.JackdawException;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.http.Replies;
+
+/** The HTTP interface of operators; every call needs the token. */
+final class AdminHandler {
+    private static final int OK = 200;
+    private static final String BEARER = "Bearer ";
+
+    /** The reply to a set that cannot be published. */
+    record FindingsBody(String code, String message, String remedy, List<Finding> findings) {}
+
+    private final EntryControl mControl;
+    private final ConfigurationPublisher mPublisher;
+    private final byte[] mToken;
+
+    AdminHandler(EntryControl control, ConfigurationPublisher publisher, String token) {
+        mControl = control;
+        mPublisher = publisher;
+        mToken = token.getBytes(StandardCharsets.UTF_8);
+    }
+
+    void addTo(RoutingHandler routes) {
+        routes.get("/admin/v1/status", guarded(this::status));
+        routes.get("/admin/v1/configuration", guarded(this::configuration));
+        routes.put("/admin/v1/configuration", guarded(this::publish));
+    }
+
+    private HttpHandler guarded(HttpHandler handler) {
+        return exchange -> {
+            if (authorized(exchange)) {
+                handler.handleRequest(exchange);
+            } else {
+                Replies.error(exchange, ErrorCode.UNAUTHORIZED, exchange.getRequestPath());
+            }
+        };
+    }
+
+    private boolean authorized(HttpServerExchange exchange) {
+        String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+        if (mToken.length == 0 || header == null || !header.startsWith(BEARER)) {
+            return false;
+        }
+        byte[] given = header.substring(BEARER.length()).getBytes(StandardCharsets.UTF_8);
+        return MessageDigest.isEqual(mToken, given);
+    }
+
+    private void status(HttpServerExchange exchange) {
+        Replies.later(
+                exchange,
+                () -> mControl.status().thenAccept(status -> Replies.json(exchange, OK, status)));
+    }
+
+    private void configuration(HttpServerExchange exchange) {
+        Replies.later(
+                exchange,
+                () ->
+                        mControl.configuration()
+                                .thenAccept(json -> Replies.json(exchange, OK, json)));
+    }
+
+    private void publish(HttpServerExchange exchange) {
+        Replies.withBody(
+                exchange,
+                text -> {
+                    PublishBody body = JsonBody.read(text, PublishBody.class);
+                    require(body.author(), "author");
+                    require(body.reason(), "reason");
+                    require(body.publicationId(), "publicationId");
+                    if (body.set() == null) {
+                        throw new RequestInvalidException("set: missing");
+                    }
+                    publish(exchange, body);
+                });
+    }
+
+    private void publish(HttpServerExchange exchange, PublishBody body) {
+        List<Finding> findings = ConfigurationChecker.check(body.set());
+        if (!findings.isEmpty()) {
+            ErrorCode code = ErrorCode.CONFIGURATION_INVALID;
+            Replies.json(
+                    exchange,
+                    code.httpStatus(),
+                    new FindingsBody(code.code(), code.message(), code.remedy(), findings));
+            return;
+        }
+        mPublisher
+                .publish(
+                        body.baseRevision(),
+                        body.publicationId(),
+                        body.author(),
+                        body.reason(),
+                        body.set())
+                .whenComplete((head, failure) -> {
+                    if (failure == null) {
+                        Replies.json(exchange, OK, head.audit().getFirst());
+                    } else {
+                        fail(exchange, failure);
+                    }
+                });
+    }
+
+    private static void require(String value, String field) {
+        if (Optional.ofNullable(value).filter(text -> !text.isBlank()).isEmpty()) {
+            throw new RequestInvalidException(field + ": missing");
+        }
+    }
+
+    private static void fail(HttpServerExchange exchange, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof JackdawException known) {
+            Replies.error(exchange, known.errorCode(), known.detail());
+        } else {
+            Replies.error(exchange, ErrorCode.STORE_UNAVAILABLE, String.valueOf(cause));
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/EntryLinks.java
@@ -0,0 +1,222 @@
+package org.jackdawsaddle.internal.entry;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.dispatch.EntryEvent;
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.Message;
+import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.internal.runtime.Addresses;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireChannel;
+import org.jackdawsaddle.internal.wire.WireConnector;
+import org.jackdawsaddle.internal.wire.WireListener;
+import org.jackdawsaddle.internal.wire.WireServer;
+import org.jackdawsaddle.internal.wire.WireThreads;
+
+/**
+ * The connections of an entry: accepted ones of sidecars and peers, and one to each peer.
+ *
+ * <p>All state is used on the control thread; messages of a connection that another has replaced
+ * are dropped there.
+ */
+public final class EntryLinks implements ManagedService {
+    /** Takes events on the control thread. */
+    public interface Sink {
+        /** Takes one event. */
+        void accept(EntryEvent event);
+    }
+
+    private final NodeId mSelf;
+    private final ControlLoop mLoop;
+    private final Sink mSink;
+    private final WireThreads mThreads;
+    private final MessageCounts mCounts;
+    private final WireServer mServer;
+    private final Map<NodeId, WireChannel> mSidecars = new HashMap<>();
+    private final Map<WireChannel, NodeId> mSidecarNodes = new HashMap<>();
+    private final Map<WireChannel, NodeId> mPeerNodes = new HashMap<>();
+    private final Map<NodeId, WireConnector> mConnectors = new HashMap<>();
+    private final Map<NodeId, WireChannel> mPeers = new HashMap<>();
+    private final Set<WireChannel> mUnflushed = new LinkedHashSet<>();
+
+    /** Creates links that are not open. */
+    public EntryLinks(
+            NodeId self,
+            String address,
+            ControlLoop loop,
+            Sink sink,
+            WireThreads threads,
+            MessageCounts counts) {
+        mSelf = self;
+        mLoop = loop;
+        mSink = sink;
+        mThreads = threads;
+        mCounts = counts;
+        mServer = new WireServer(threads, Addresses.parse(address), new Accepted(), counts);
+    }
+
+    @Override
+    public void start() {
+        mServer.start();
+    }
+
+    @Override
+    public void stop() {
+        mServer.stop();
+        mConnectors.values().forEach(WireConnector::stop);
+        mThreads.stop();
+    }
+
+    /** Queues a message to a sidecar. */
+    public void send(NodeId sidecar, EntryMessage message) {
+        write(mSidecars.get(sidecar), message);
+    }
+
+    /** Queues a message to a peer. */
+    public void sendToPeer(NodeId peer, PeerMessage message) {
+        write(mPeers.get(peer), message);
+    }
+
+    /** Returns the peers that are connected. */
+    public Set<NodeId> peers() {
+        return Set.copyOf(mPeers.keySet());
+    }
+
+    /** Keeps a connection to a peer open. */
+    public void connect(NodeId peer, String address) {
+        WireConnector connector =
+                new WireConnector(mThreads, Addresses.parse(address), new Outgoing(peer), mCounts);
+        mConnectors.put(peer, connector);
+        connector.start();
+    }
+
+    /** Closes the connection to a peer for good. */
+    public void disconnect(NodeId peer) {
+        Optional.ofNullable(mConnectors.remove(peer)).ifPresent(WireConnector::stop);
+        mPeers.remove(peer);
+    }
+
+    /** Sends what is queued. */
+    public void flush() {
+        mUnflushed.forEach(WireChannel::flush);
+        mUnflushed.clear();
+    }
+
+    private void write(WireChannel channel, Message message) {
+        if (channel != null) {
+            channel.write(message);
+            mUnflushed.add(channel);
+        }
+    }
+
+    /** Connections that sidecars and peers have opened. */
+    private final class Accepted implements WireListener {
+        @Override
+        public void opened(WireChannel channel) {
+            channel.write(new EntryMessage.Welcome(mSelf, List.of()));
+            channel.flush();
+        }
+
+        @Override
+        public void received(WireChannel channel, Message message) {
+            mLoop.execute(() -> onAccepted(channel, message));
+        }
+
+        @Override
+        public void closed(WireChannel channel) {
+            mLoop.execute(() -> onAcceptedClosed(channel));
+        }
+    }
+
+    private void onAccepted(WireChannel channel, Message message) {
+        switch (message) {
+            case SidecarMessage.SidecarHello hello -> onHello(channel, hello);
+            case SidecarMessage sidecar -> {
+                NodeId node = mSidecarNodes.get(channel);
+                if (node != null && mSidecars.get(node) == channel) {
+                    mSink.accept(new EntryEvent.SidecarSent(node, sidecar));
+                }
+            }
+            case PeerMessage.PeerHello hello -> {
+                mPeerNodes.put(channel, hello.entry());
+                mSink.accept(new EntryEvent.PeerSent(hello.entry(), hello));
+            }
+            case PeerMessage peer -> {
+                NodeId node = mPeerNodes.get(channel);
+                if (node != null) {
+                    mSink.accept(new EntryEvent.PeerSent(node, peer));
+                }
+            }
+            case EntryMessage entry -> channel.close();
+        }
+    }
+
+    private void onHello(WireChannel channel, SidecarMessage.SidecarHello hello) {
+        NodeId node = hello.sidecar();
+        WireChannel before = mSidecars.put(node, channel);
+        mSidecarNodes.put(channel, node);
+        if (before != null && before != channel) {
+            before.close();
+            mSink.accept(new EntryEvent.SidecarLost(node));
+        }
+        mSink.accept(new EntryEvent.SidecarAnnounced(hello));
+    }
+
+    private void onAcceptedClosed(WireChannel channel) {
+        mPeerNodes.remove(channel);
+        mUnflushed.remove(channel);
+        NodeId node = mSidecarNodes.remove(channel);
+        if (node != null && mSidecars.remove(node, channel)) {
+            mSink.accept(new EntryEvent.SidecarLost(node));
+        }
+    }
+
+    /** The connection to one life of a peer. */
+    private final class Outgoing implements WireListener {
+        private final NodeId mPeer;
+
+        Outgoing(NodeId peer) {
+            mPeer = peer;
+        }
+
+        @Override
+        public void opened(WireChannel channel) {
+            // The peer speaks first, so that another life at its address is told apart.
+        }
+
+        @Override
+        public void received(WireChannel channel, Message message) {
+            if (message instanceof EntryMessage.Welcome welcome) {
+                mLoop.execute(() -> onWelcome(channel, welcome));
+            }
+        }
+
+        @Override
+        public void closed(WireChannel channel) {
+            mLoop.execute(() -> {
+                mUnflushed.remove(channel);
+                if (mPeers.remove(mPeer, channel)) {
+                    mSink.accept(new EntryEvent.PeerLost(mPeer));
+                }
+            });
+        }
+
+        private void onWelcome(WireChannel channel, EntryMessage.Welcome welcome) {
+            if (!welcome.entry().equals(mPeer) || !mConnectors.containsKey(mPeer)) {
+                channel.close();
+                return;
+            }
+            mPeers.put(mPeer, channel);
+            mSink.accept(new EntryEvent.PeerConnected(mPeer));
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/StoreWatch.java
@@ -0,0 +1,64 @@
+package org.jackdawsaddle.internal.entry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.dispatch.StoreKeys;
+import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.store.StoreValue;
+
+/** Holds the one waiting watch of an entry and reports every change of this system's keys. */
+public final class StoreWatch implements ManagedService {
+    private static final long WAIT_MILLIS = 20_000;
+
+    private final StoreClient mStore;
+    private final Consumer<List<StoreValue>> mListener;
+    private volatile boolean mRunning;
+    private volatile boolean mFailing;
+    private long mPosition;
+
+    /** Creates a watch that is not running. */
+    public StoreWatch(StoreClient store, Consumer<List<StoreValue>> listener) {
+        mStore = store;
+        mListener = listener;
+    }
+
+    @Override
+    public void start() {
+        mRunning = true;
+        next();
+    }
+
+    @Override
+    public void stop() {
+        mRunning = false;
+    }
+
+    /** Returns whether the last call was without an answer. */
+    public boolean failing() {
+        return mFailing;
+    }
+
+    private void next() {
+        if (mRunning) {
+            mStore.watch(StoreKeys.PREFIX, mPosition, WAIT_MILLIS).whenComplete(this::onAnswer);
+        }
+    }
+
+    private void onAnswer(StoreClient.Changes changes, Throwable failure) {
+        mFailing = failure != null;
+        if (failure != null) {
+            CompletableFuture.delayedExecutor(Timing.STORE_RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(this::next);
+            return;
+        }
+        mPosition = changes.position();
+        if (!changes.values().isEmpty()) {
+            mListener.accept(changes.values());
+        }
+        next();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/JsonBody.java
@@ -0,0 +1,62 @@
+package org.jackdawsaddle.internal.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.stream.Collectors;
+import org.jackdawsaddle.errors.RequestInvalidException;
+
+/** Reads JSON that people write: unknown fields and wrong types are errors with a path. */
+public final class JsonBody {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private JsonBody() {}
+
+    /**
+     * Reads a value.
+     *
+     * @throws RequestInvalidException with the path of the wrong field
+     */
+    public static <T> T read(String json, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(json, type);
+            if (value == null) {
+                throw new RequestInvalidException("body: is null");
+            }
+            return value;
+        } catch (UnrecognizedPropertyException e) {
+            throw new RequestInvalidException(path(e) + ": unknown field");
+        } catch (JsonMappingException e) {
+            throw new RequestInvalidException(path(e) + ": " + e.getOriginalMessage());
+        } catch (JsonProcessingException e) {
+            throw new RequestInvalidException("body: " + e.getOriginalMessage());
+        }
+    }
+
+    /** Returns the JSON text of a value, indented for people. */
+    public static String pretty(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private static String path(JsonMappingException e) {
+        String path =
+                e.getPath().stream()
+                        .map(step ->
+                                step.getFieldName() == null
+                                        ? "[" + step.getIndex() + "]"
+                                        : step.getFieldName())
+                        .collect(Collectors.joining("."));
+        return path.isEmpty() ? "body" : path;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/Addresses.java
@@ -0,0 +1,25 @@
+package org.jackdawsaddle.internal.runtime;
+
+import java.net.InetSocketAddress;
+import org.jackdawsaddle.errors.SettingsInvalidException;
+
+/** Reads addresses of the form host:port. */
+public final class Addresses {
+
+    private Addresses() {}
+
+    /**
+     * Parses an address with an IP number.
+     *
+     * @throws SettingsInvalidException if the text has another form
+     */
+    public static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            return new InetSocketAddress(address.substring(0, colon), port);
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new SettingsInvalidException("\"" + address + "\" is not of the form host:port.");
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
@@ -0,0 +1,90 @@
+package org.jackdawsaddle.internal.runtime;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jackdawsaddle.ManagedService;
+
+/** The one thread that owns the control state of a process; others hand it work. */
+public final class ControlLoop implements ManagedService {
+    private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
+    private static final int MAX_BATCH = 256;
+    private static final long STOP_PATIENCE_MILLIS = 2_000;
+
+    private final LinkedBlockingQueue<Runnable> mQueue = new LinkedBlockingQueue<>();
+    private final Runnable mTick;
+    private final Runnable mAfterBatch;
+    private final long mTickNanos;
+    private final Thread mThread;
+    private volatile boolean mRunning = true;
+
+    /**
+     * Creates a loop.
+     *
+     * @param name the name of the thread
+     * @param tickMillis the time between two ticks
+     * @param tick runs at each tick
+     * @param afterBatch runs after each batch of work
+     */
+    public ControlLoop(String name, long tickMillis, Runnable tick, Runnable afterBatch) {
+        mTick = tick;
+        mAfterBatch = afterBatch;
+        mTickNanos = TimeUnit.MILLISECONDS.toNanos(tickMillis);
+        mThread = Thread.ofPlatform().name(name).daemon().unstarted(this::run);
+    }
+
+    @Override
+    public void start() {
+        mThread.start();
+    }
+
+    @Override
+    public void stop() {
+        mRunning = false;
+        mThread.interrupt();
+        try {
+            mThread.join(STOP_PATIENCE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Runs the work on the control thread, after all work handed over before. */
+    public void execute(Runnable work) {
+        mQueue.add(work);
+    }
+
+    private void run() {
+        List<Runnable> batch = new ArrayList<>();
+        long nextTick = System.nanoTime();
+        while (mRunning) {
+            try {
+                Runnable first = mQueue.poll(nextTick - System.nanoTime(), TimeUnit.NANOSECONDS);
+                if (first != null) {
+                    batch.add(first);
+                    mQueue.drainTo(batch, MAX_BATCH);
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+            batch.forEach(ControlLoop::runSafely);
+            batch.clear();
+            if (System.nanoTime() >= nextTick) {
+                runSafely(mTick);
+                nextTick = System.nanoTime() + mTickNanos;
+            }
+            runSafely(mAfterBatch);
+        }
+    }
+
+    private static void runSafely(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            LOG.error("Control work failed; its event is dropped", e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/MetricsText.java
@@ -0,0 +1,61 @@
+package org.jackdawsaddle.internal.runtime;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+
+/** The metrics of one process in the text format of Prometheus. */
+public final class MetricsText {
+    /** The content type of the text. */
+    public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+
+    /** Adds a counter without labels. */
+    public void counter(String name, String help, DoubleSupplier value) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(mRegistry);
+    }
+
+    /** Adds a counter with one label, whose values are the keys of the map. */
+    public void counters(
+            String name, String help, String label, Supplier<Map<String, Long>> values) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.get().forEach((key, n) -> callback.call(n, key)))
+                .register(mRegistry);
+    }
+
+    /** Adds a gauge without labels. */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(mRegistry);
+    }
+
+    /** Returns the text. */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SealedPartition.java
@@ -0,0 +1,24 @@
+package org.jackdawsaddle.internal.sidecar;
+
+import org.jackdawsaddle.NodeId;
+
+/** What a sidecar keeps of a partition: who may start tasks, and the newest id started. */
+final class SealedPartition {
+    long mEpoch;
+    NodeId mOwner;
+    long mNewestIdMillis;
+
+    /** Takes a seal if no later owner has sealed; returns whether the sender is the owner now. */
+    boolean seal(long epoch, NodeId owner) {
+        if (epoch < mEpoch) {
+            return false;
+        }
+        mEpoch = epoch;
+        mOwner = owner;
+        return true;
+    }
+
+    void started(long idMillis) {
+        mNewestIdMillis = Math.max(mNewestIdMillis, idMillis);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarLinks.java
@@ -0,0 +1,152 @@
+package org.jackdawsaddle.internal.sidecar;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.Message;
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.internal.runtime.Addresses;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireChannel;
+import org.jackdawsaddle.internal.wire.WireConnector;
+import org.jackdawsaddle.internal.wire.WireListener;
+import org.jackdawsaddle.internal.wire.WireThreads;
+
+/**
+ * The connections of a sidecar: one to each entry that it knows of.
+ *
+ * <p>All state is used on the control thread; messages of a connection that another has replaced
+ * are dropped there.
+ */
+public final class SidecarLinks implements ManagedService {
+    /** Takes events on the control thread. */
+    public interface Sink {
+        /** Takes one event. */
+        void accept(SidecarEvent event);
+    }
+
+    private final List<String> mSeeds;
+    private final ControlLoop mLoop;
+    private final Sink mSink;
+    private final WireThreads mThreads;
+    private final MessageCounts mCounts;
+    private final Map<String, WireConnector> mConnectors = new LinkedHashMap<>();
+    private final Map<NodeId, WireChannel> mEntries = new HashMap<>();
+    private final Map<WireChannel, NodeId> mNodes = new HashMap<>();
+    private final Set<WireChannel> mUnflushed = new LinkedHashSet<>();
+
+    /**
+     * Creates links that are not open.
+     *
+     * @param seeds the addresses of some entries, as host:port
+     */
+    public SidecarLinks(
+            List<String> seeds,
+            ControlLoop loop,
+            Sink sink,
+            WireThreads threads,
+            MessageCounts counts) {
+        mSeeds = seeds;
+        mLoop = loop;
+        mSink = sink;
+        mThreads = threads;
+        mCounts = counts;
+    }
+
+    @Override
+    public void start() {
+        mLoop.execute(() -> mSeeds.forEach(this::connect));
+    }
+
+    @Override
+    public void stop() {
+        mConnectors.values().forEach(WireConnector::stop);
+        mThreads.stop();
+    }
+
+    /** Queues a message to an entry. */
+    public void send(NodeId entry, SidecarMessage message) {
+        WireChannel channel = mEntries.get(entry);
+        if (channel != null) {
+            channel.write(message);
+            mUnflushed.add(channel);
+        }
+    }
+
+    /** Sends what is queued. */
+    public void flush() {
+        mUnflushed.forEach(WireChannel::flush);
+        mUnflushed.clear();
+    }
+
+    private void connect(String address) {
+        mConnectors.computeIfAbsent(
+                address,
+                key -> {
+                    WireConnector connector =
+                            new WireConnector(
+                                    mThreads, Addresses.parse(key), new Listener(), mCounts);
+                    connector.start();
+                    return connector;
+                });
+    }
+
+    private void onReceived(WireChannel channel, EntryMessage message) {
+        if (message instanceof EntryMessage.Welcome welcome) {
+            welcome.entryAddresses().forEach(this::connect);
+            if (!mNodes.containsKey(channel)) {
+                onFirstWelcome(channel, welcome.entry());
+            }
+            return;
+        }
+        NodeId node = mNodes.get(channel);
+        if (node != null && mEntries.get(node) == channel) {
+            mSink.accept(new SidecarEvent.EntrySent(node, message));
+        }
+    }
+
+    private void onFirstWelcome(WireChannel channel, NodeId entry) {
+        mNodes.put(channel, entry);
+        WireChannel before = mEntries.put(entry, channel);
+        if (before != null) {
+            mNodes.remove(before);
+            before.close();
+            mSink.accept(new SidecarEvent.EntryLost(entry));
+        }
+        mSink.accept(new SidecarEvent.EntryConnected(entry));
+    }
+
+    private void onClosed(WireChannel channel) {
+        mUnflushed.remove(channel);
+        NodeId node = mNodes.remove(channel);
+        if (node != null && mEntries.remove(node, channel)) {
+            mSink.accept(new SidecarEvent.EntryLost(node));
+        }
+    }
+
+    private final class Listener implements WireListener {
+        @Override
+        public void opened(WireChannel channel) {
+            // The entry speaks first.
+        }
+
+        @Override
+        public void received(WireChannel channel, Message message) {
+            if (message instanceof EntryMessage entry) {
+                mLoop.execute(() -> onReceived(channel, entry));
+            }
+        }
+
+        @Override
+        public void closed(WireChannel channel) {
+            mLoop.execute(() -> onClosed(channel));
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/store/HttpStoreClient.java
@@ -0,0 +1,99 @@
+package org.jackdawsaddle.internal.store;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.errors.StoreUnavailableException;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.store.StoreValue;
+
+/** Reaches the platform's store by HTTP. */
+public final class HttpStoreClient implements StoreClient {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final long CALL_PATIENCE_MILLIS = 2_000;
+    private static final long WATCH_GRACE_MILLIS = 2_000;
+
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    private record Written(long version) {}
+
+    private record ChangeList(long position, List<StoreValue> values) {}
+
+    private final HttpCaller mCaller;
+    private final String mAddress;
+    private final UnixClock mClock;
+
+    /** Creates a client of the store at host:port. */
+    public HttpStoreClient(HttpCaller caller, String address, UnixClock clock) {
+        mCaller = caller;
+        mAddress = address;
+        mClock = clock;
+    }
+
+    @Override
+    public CompletableFuture<StoreValue> read(String key) {
+        return call("GET", "/v1/values/" + key, "", CALL_PATIENCE_MILLIS)
+                .thenApply(answer ->
+                        switch (answer.status()) {
+                            case OK -> StoreJson.read(answer.body(), StoreValue.class);
+                            case NOT_FOUND -> new StoreValue(key, 0, "");
+                            default -> throw unavailable(answer);
+                        });
+    }
+
+    @Override
+    public CompletableFuture<Optional<Long>> compareAndSet(
+            String key, long expectedVersion, String value, Optional<Long> leaseMillis) {
+        String lease = leaseMillis.map(millis -> "&leaseMillis=" + millis).orElse("");
+        String path = "/v1/values/" + key + "?version=" + expectedVersion + lease;
+        return call("PUT", path, value, CALL_PATIENCE_MILLIS)
+                .thenApply(answer ->
+                        switch (answer.status()) {
+                            case OK ->
+                                    Optional.of(
+                                            StoreJson.read(answer.body(), Written.class).version());
+                            case CONFLICT -> Optional.empty();
+                            default -> throw unavailable(answer);
+                        });
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, long position, long waitMillis) {
+        String path =
+                "/v1/changes?prefix="
+                        + prefix
+                        + "&position="
+                        + position
+                        + "&waitMillis="
+                        + waitMillis;
+        return call("GET", path, "", waitMillis + WATCH_GRACE_MILLIS)
+                .thenApply(answer -> {
+                    if (answer.status() != OK) {
+                        throw unavailable(answer);
+                    }
+                    ChangeList list = StoreJson.read(answer.body(), ChangeList.class);
+                    return new Changes(list.position(), list.values());
+                });
+    }
+
+    private CompletableFuture<HttpAnswer> call(
+            String method, String path, String body, long patienceMillis) {
+        long deadline = mClock.now() + patienceMillis;
+        return mCaller.call(new HttpCall(method, mAddress, path, body, deadline))
+                .exceptionally(cause -> {
+                    throw new StoreUnavailableException(
+                            method + " " + path + ": " + cause.getMessage());
+                });
+    }
+
+    private static StoreUnavailableException unavailable(HttpAnswer answer) {
+        return new StoreUnavailableException("status " + answer.status());
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/EntryWire.java
@@ -0,0 +1,103 @@
+package org.jackdawsaddle.internal.wire;
+
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.EntryMessage.Inquiry;
+import org.jackdawsaddle.internal.message.EntryMessage.RenewLease;
+import org.jackdawsaddle.internal.message.EntryMessage.Seal;
+import org.jackdawsaddle.internal.message.EntryMessage.StartTasks;
+import org.jackdawsaddle.internal.message.EntryMessage.StopTasks;
+import org.jackdawsaddle.internal.message.EntryMessage.TargetConfiguration;
+import org.jackdawsaddle.internal.message.EntryMessage.Welcome;
+import org.jackdawsaddle.internal.wire.proto.Wire;
+import org.jackdawsaddle.internal.wire.proto.Wire.Envelope;
+
+/** Maps what entries send to sidecars. */
+final class EntryWire {
+
+    private EntryWire() {}
+
+    static void encode(EntryMessage message, Envelope.Builder envelope) {
+        switch (message) {
+            case Welcome welcome ->
+                    envelope.getWelcomeBuilder()
+                            .setEntry(WireMapper.encode(welcome.entry()))
+                            .addAllEntryAddresses(welcome.entryAddresses());
+            case StartTasks start ->
+                    envelope.getStartTasksBuilder()
+                            .setPartition(start.partition())
+                            .setEpoch(start.epoch())
+                            .setEchoedStamp(start.echoedStamp())
+                            .addAllTasks(start.tasks().stream().map(WireMapper::encode).toList());
+            case StopTasks stop ->
+                    envelope.getStopTasksBuilder()
+                            .setPartition(stop.partition())
+                            .setEpoch(stop.epoch())
+                            .addAllTasks(stop.tasks().stream().map(WireMapper::encode).toList());
+            case Seal seal ->
+                    envelope.getSealBuilder().setPartition(seal.partition()).setEpoch(seal.epoch());
+            case RenewLease renew ->
+                    envelope.getRenewLeaseBuilder()
+                            .setPartition(renew.partition())
+                            .setEpoch(renew.epoch())
+                            .setSentAt(renew.sentAt());
+            case Inquiry inquiry ->
+                    envelope.getInquiryBuilder()
+                            .setPartition(inquiry.partition())
+                            .setEpoch(inquiry.epoch())
+                            .setNumber(inquiry.number())
+                            .addAllSubmissions(
+                                    inquiry.submissions().stream()
+                                            .map(WireMapper::encode)
+                                            .toList());
+            case TargetConfiguration configuration ->
+                    envelope.getTargetConfigurationBuilder()
+                            .setRevision(configuration.revision())
+                            .setDrained(configuration.drained())
+                            .setSlots(configuration.slots());
+        }
+    }
+
+    static EntryMessage decode(Envelope envelope) {
+        return switch (envelope.getBodyCase()) {
+            case WELCOME ->
+                    new Welcome(
+                            WireMapper.decode(envelope.getWelcome().getEntry()),
+                            envelope.getWelcome().getEntryAddressesList());
+            case START_TASKS -> {
+                Wire.StartTasks start = envelope.getStartTasks();
+                yield new StartTasks(
+                        start.getPartition(),
+                        start.getEpoch(),
+                        start.getEchoedStamp(),
+                        start.getTasksList().stream().map(WireMapper::decode).toList());
+            }
+            case STOP_TASKS -> {
+                Wire.StopTasks stop = envelope.getStopTasks();
+                yield new StopTasks(
+                        stop.getPartition(),
+                        stop.getEpoch(),
+                        stop.getTasksList().stream().map(WireMapper::decode).toList());
+            }
+            case SEAL -> new Seal(envelope.getSeal().getPartition(), envelope.getSeal().getEpoch());
+            case RENEW_LEASE -> {
+                Wire.RenewLease renew = envelope.getRenewLease();
+                yield new RenewLease(renew.getPartition(), renew.getEpoch(), renew.getSentAt());
+            }
+            case INQUIRY -> {
+                Wire.Inquiry inquiry = envelope.getInquiry();
+                yield new Inquiry(
+                        inquiry.getPartition(),
+                        inquiry.getEpoch(),
+                        inquiry.getNumber(),
+                        inquiry.getSubmissionsList().stream().map(WireMapper::decode).toList());
+            }
+            default -> {
+                Wire.TargetConfiguration configuration = envelope.getTargetConfiguration();
+                yield new TargetConfiguration(
+                        configuration.getRevision(),
+                        configuration.getDrained(),
+                        configuration.getSlots());
+            }
+        };
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
@@ -0,0 +1,110 @@
+package org.jackdawsaddle.internal.wire;
+
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.internal.message.SidecarMessage.ConfigurationApplied;
+import org.jackdawsaddle.internal.message.SidecarMessage.InquiryAnswer;
+import org.jackdawsaddle.internal.message.SidecarMessage.LeaseRenewed;
+import org.jackdawsaddle.internal.message.SidecarMessage.Sealed;
+import org.jackdawsaddle.internal.message.SidecarMessage.SidecarHello;
+import org.jackdawsaddle.internal.message.SidecarMessage.TaskResults;
+import org.jackdawsaddle.internal.wire.proto.Wire;
+import org.jackdawsaddle.internal.wire.proto.Wire.Envelope;
+
+/** Maps what sidecars send. */
+final class SidecarWire {
+
+    private SidecarWire() {}
+
+    static void encode(SidecarMessage message, Envelope.Builder envelope) {
+        switch (message) {
+            case SidecarHello hello -> envelope.setSidecarHello(encodeHello(hello));
+            case TaskResults results ->
+                    envelope.getTaskResultsBuilder()
+                            .setPartition(results.partition())
+                            .addAllResults(WireMapper.encodeResults(results.results()));
+            case Sealed sealed ->
+                    envelope.getSealedBuilder()
+                            .setPartition(sealed.partition())
+                            .setEpoch(sealed.epoch())
+                            .setNewestIdMillis(sealed.newestIdMillis())
+                            .setStamp(sealed.stamp());
+            case LeaseRenewed renewed ->
+                    envelope.getLeaseRenewedBuilder()
+                            .setPartition(renewed.partition())
+                            .setEpoch(renewed.epoch())
+                            .setSentAt(renewed.sentAt())
+                            .setStamp(renewed.stamp());
+            case InquiryAnswer answer ->
+                    envelope.getInquiryAnswerBuilder()
+                            .setPartition(answer.partition())
+                            .setNumber(answer.number())
+                            .addAllKnown(WireMapper.encodeResults(answer.known()));
+            case ConfigurationApplied applied ->
+                    envelope.getConfigurationAppliedBuilder().setRevision(applied.revision());
+        }
+    }
+
+    private static Wire.SidecarHello encodeHello(SidecarHello hello) {
+        return Wire.SidecarHello.newBuilder()
+                .setSidecar(WireMapper.encode(hello.sidecar()))
+                .setTarget(hello.target())
+                .setService(hello.service())
+                .setDataCentre(hello.dataCentre())
+                .setSlots(hello.slots())
+                .setConnections(hello.connections())
+                .setCapacity(WireMapper.encode(hello.capacity()))
+                .setServing(hello.serving())
+                .setStartedAt(hello.startedAt())
+                .setRevision(hello.revision())
+                .build();
+    }
+
+    static SidecarMessage decode(Envelope envelope) {
+        return switch (envelope.getBodyCase()) {
+            case SIDECAR_HELLO -> decodeHello(envelope.getSidecarHello());
+            case TASK_RESULTS -> {
+                Wire.TaskResults results = envelope.getTaskResults();
+                yield new TaskResults(
+                        results.getPartition(), WireMapper.decodeResults(results.getResultsList()));
+            }
+            case SEALED -> {
+                Wire.Sealed sealed = envelope.getSealed();
+                yield new Sealed(
+                        sealed.getPartition(),
+                        sealed.getEpoch(),
+                        sealed.getNewestIdMillis(),
+                        sealed.getStamp());
+            }
+            case LEASE_RENEWED -> {
+                Wire.LeaseRenewed renewed = envelope.getLeaseRenewed();
+                yield new LeaseRenewed(
+                        renewed.getPartition(),
+                        renewed.getEpoch(),
+                        renewed.getSentAt(),
+                        renewed.getStamp());
+            }
+            case INQUIRY_ANSWER -> {
+                Wire.InquiryAnswer answer = envelope.getInquiryAnswer();
+                yield new InquiryAnswer(
+                        answer.getPartition(),
+                        answer.getNumber(),
+                        WireMapper.decodeResults(answer.getKnownList()));
+            }
+            default -> new ConfigurationApplied(envelope.getConfigurationApplied().getRevision());
+        };
+    }
+
+    private static SidecarHello decodeHello(Wire.SidecarHello hello) {
+        return new SidecarHello(
+                WireMapper.decode(hello.getSidecar()),
+                hello.getTarget(),
+                hello.getService(),
+                hello.getDataCentre(),
+                hello.getSlots(),
+                hello.getConnections(),
+                WireMapper.decode(hello.getCapacity()),
+                hello.getServing(),
+                hello.getStartedAt(),
+                hello.getRevision());
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireChannel.java
@@ -0,0 +1,34 @@
+package org.jackdawsaddle.internal.wire;
+
+import io.netty.channel.Channel;
+import org.jackdawsaddle.internal.message.Message;
+
+/** One connection to another process of the system. */
+public final class WireChannel {
+    private final Channel mChannel;
+    private final MessageCounts mCounts;
+
+    WireChannel(Channel channel, MessageCounts counts) {
+        mChannel = channel;
+        mCounts = counts;
+    }
+
+    /** Queues a message; it leaves with the next {@link #flush}. */
+    public void write(Message message) {
+        if (mChannel.isActive()) {
+            var envelope = WireMapper.encode(message);
+            mCounts.add(envelope);
+            mChannel.write(envelope, mChannel.voidPromise());
+        }
+    }
+
+    /** Sends what is queued. */
+    public void flush() {
+        mChannel.flush();
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireConnector.java
@@ -0,0 +1,97 @@
+package org.jackdawsaddle.internal.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.message.Message;
+
+/** Keeps one connection to an address open, and opens it again whenever it ends. */
+public final class WireConnector implements ManagedService {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long RECONNECT_MILLIS = 200;
+
+    private final WireThreads mThreads;
+    private final InetSocketAddress mAddress;
+    private final WireListener mListener;
+    private final Bootstrap mBootstrap;
+    private volatile boolean mWanted;
+    private volatile WireChannel mOpen;
+
+    /** Creates a connector to the given address. */
+    public WireConnector(
+            WireThreads threads,
+            InetSocketAddress address,
+            WireListener listener,
+            MessageCounts counts) {
+        mThreads = threads;
+        mAddress = address;
+        mListener = listener;
+        mBootstrap =
+                new Bootstrap()
+                        .group(threads.group())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(new WirePipeline(new Reconnecting(), counts));
+    }
+
+    @Override
+    public void start() {
+        mWanted = true;
+        connect();
+    }
+
+    @Override
+    public void stop() {
+        mWanted = false;
+        WireChannel open = mOpen;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private void connect() {
+        if (mWanted && !mThreads.group().isShuttingDown()) {
+            mBootstrap.connect(mAddress).addListener(this::onConnected);
+        }
+    }
+
+    private void onConnected(Future<?> future) {
+        if (!future.isSuccess()) {
+            connectLater();
+        } else if (!mWanted) {
+            ((ChannelFuture) future).channel().close();
+        }
+    }
+
+    private void connectLater() {
+        if (mWanted && !mThreads.group().isShuttingDown()) {
+            mThreads.group().schedule(this::connect, RECONNECT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private final class Reconnecting implements WireListener {
+        @Override
+        public void opened(WireChannel channel) {
+            mOpen = channel;
+            mListener.opened(channel);
+        }
+
+        @Override
+        public void received(WireChannel channel, Message message) {
+            mListener.received(channel, message);
+        }
+
+        @Override
+        public void closed(WireChannel channel) {
+            mOpen = null;
+            mListener.closed(channel);
+            connectLater();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireServer.java
@@ -0,0 +1,46 @@
+package org.jackdawsaddle.internal.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import org.jackdawsaddle.ManagedService;
+
+/** Accepts connections of sidecars and peers. */
+public final class WireServer implements ManagedService {
+    private final WireThreads mThreads;
+    private final InetSocketAddress mAddress;
+    private final WirePipeline mPipeline;
+    private Channel mChannel;
+
+    /** Creates a server for the given address. */
+    public WireServer(
+            WireThreads threads,
+            InetSocketAddress address,
+            WireListener listener,
+            MessageCounts counts) {
+        mThreads = threads;
+        mAddress = address;
+        mPipeline = new WirePipeline(listener, counts);
+    }
+
+    @Override
+    public void start() {
+        mChannel =
+                new ServerBootstrap()
+                        .group(mThreads.group())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(mPipeline)
+                        .bind(mAddress)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    @Override
+    public void stop() {
+        mChannel.close().syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireThreads.java
@@ -0,0 +1,38 @@
+package org.jackdawsaddle.internal.wire;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.jackdawsaddle.ManagedService;
+
+/** The I/O threads of a process's connections. */
+public final class WireThreads implements ManagedService {
+    private static final long QUIET_MILLIS = 0;
+    private static final long STOP_PATIENCE_MILLIS = 2_000;
+
+    private final EventLoopGroup mGroup;
+
+    /** Creates the given number of threads. */
+    public WireThreads(String name, int threads) {
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    }
+
+    EventLoopGroup group() {
+        return mGroup;
+    }
+
+    @Override
+    public void start() {
+        // Netty starts each thread with its first connection.
+    }
+
+    @Override
+    public void stop() {
+        mGroup.shutdownGracefully(QUIET_MILLIS, STOP_PATIENCE_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(STOP_PATIENCE_MILLIS);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/settings/SettingsReader.java
@@ -0,0 +1,120 @@
+package org.jackdawsaddle.settings;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import org.jackdawsaddle.errors.SettingsInvalidException;
+
+/**
+ * Reads a settings file over the commented defaults of its role.
+ *
+ * @param <T> the type of the settings
+ */
+public final class SettingsReader<T> {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder().enable(JsonParser.Feature.ALLOW_COMMENTS).build();
+
+    private final Class<T> mType;
+    private final String mRole;
+    private final Set<String> mRequired;
+
+    /**
+     * Creates a reader.
+     *
+     * @param role the name of the defaults, a resource beside the type
+     * @param required the fields that have no default
+     */
+    public SettingsReader(Class<T> type, String role, Set<String> required) {
+        mType = type;
+        mRole = role;
+        mRequired = required;
+    }
+
+    /** Returns the settings of an entry. */
+    public static SettingsReader<EntrySettings> entry() {
+        return new SettingsReader<>(
+                EntrySettings.class,
+                "entry",
+                Set.of("name", "dataCentre", "httpAddress", "peerAddress", "storeAddress"));
+    }
+
+    /** Returns the settings of a sidecar. */
+    public static SettingsReader<SidecarSettings> sidecar() {
+        return new SettingsReader<>(
+                SidecarSettings.class,
+                "sidecar",
+                Set.of("name", "dataCentre", "httpAddress", "entryAddresses"));
+    }
+
+    /** Returns a commented example with all defaults and units. */
+    public String example() {
+        try (InputStream in = mType.getResourceAsStream(mRole + ".json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsInvalidException with the path of the first wrong field
+     */
+    public T read(String file) {
+        try {
+            return parse(file, Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            throw new SettingsInvalidException(file + ": cannot be read: " + e.getMessage() + ".");
+        }
+    }
+
+    /** Reads the text of a settings file; the name of the file is used in errors. */
+    T parse(String file, String text) {
+        try {
+            ObjectNode settings = (ObjectNode) MAPPER.readTree(example());
+            if (!(MAPPER.readTree(text) instanceof ObjectNode given)) {
+                throw new SettingsInvalidException(file + ": is no JSON object.");
+            }
+            for (String field : mRequired) {
+                if (!given.has(field)) {
+                    throw new SettingsInvalidException(file + " " + field + ": is missing.");
+                }
+            }
+            for (Map.Entry<String, JsonNode> field : given.properties()) {
+                check(file, settings, field);
+                settings.set(field.getKey(), field.getValue());
+            }
+            return MAPPER.treeToValue(settings, mType);
+        } catch (JsonProcessingException e) {
+            throw new SettingsInvalidException(file + ": " + e.getOriginalMessage() + ".");
+        }
+    }
+
+    private static void check(String file, ObjectNode defaults, Map.Entry<String, JsonNode> field) {
+        String path = file + " " + field.getKey();
+        JsonNode expected = defaults.get(field.getKey());
+        if (expected == null) {
+            throw new SettingsInvalidException(path + ": is unknown.");
+        }
+        if (expected.getNodeType() != field.getValue().getNodeType()) {
+            throw new SettingsInvalidException(
+                    path
+                            + ": is "
+                            + field.getValue().getNodeType()
+                            + ", not "
+                            + expected.getNodeType()
+                            + ".");
+        }
+    }
+}
