Walk the decisions through random faults

Cause: nothing showed yet that the promises hold when processes die, freeze or lose links. The walk runs the real decisions of three entries and four sidecars on a manual clock, with kills, freezes, cut links, an absent store, lost and late store answers and concurrent resubmissions.

Many jobs still fail as target-lost under these faults, which is safe and dear; not looked into yet.

--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/Agenda.java
@@ -0,0 +1,42 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Work to do at given times of a manual clock, in order. */
+final class Agenda {
+    private record Item(long at, long number, Runnable work) {}
+
+    private final PriorityQueue<Item> mItems =
+            new PriorityQueue<>(Comparator.comparingLong(Item::at).thenComparingLong(Item::number));
+    private long mNumber;
+    private long mNow;
+
+    Agenda(long start) {
+        mNow = start;
+    }
+
+    long now() {
+        return mNow;
+    }
+
+    void at(long time, Runnable work) {
+        mNumber++;
+        mItems.add(new Item(Math.max(time, mNow), mNumber, work));
+    }
+
+    void after(long millis, Runnable work) {
+        at(mNow + millis, work);
+    }
+
+    /** Does the next work; returns false if its time is after the limit. */
+    boolean step(long limit) {
+        if (mItems.isEmpty() || mItems.peek().at() > limit) {
+            return false;
+        }
+        Item item = mItems.poll();
+        mNow = item.at();
+        item.work().run();
+        return true;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/SidecarNode.java
@@ -0,0 +1,83 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.message.TaskKey;
+import org.jackdawsaddle.internal.sidecar.SidecarAction;
+import org.jackdawsaddle.internal.sidecar.SidecarCore;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent.TargetAnswered;
+
+/** A sidecar of a walk, with its target. */
+final class SidecarNode extends WalkNode {
+    static final int SLOTS = 3;
+    private static final long ANNOUNCE_MILLIS = 1_000;
+
+    final SidecarCore mCore;
+    final NodeId mId;
+    private int mRunning;
+
+    SidecarNode(Walk walk, String name, long incarnation) {
+        super(walk, name);
+        mId = new NodeId(name, incarnation);
+        mCore = new SidecarCore(mId, "here", clock());
+    }
+
+    void handle(SidecarEvent event) {
+        mCore.handle(event, clock());
+    }
+
+    void announce() {
+        if (mAlive) {
+            SidecarEvent.Announcement announcement =
+                    new SidecarEvent.Announcement(
+                            mName, "service", mName, SLOTS, SLOTS, Demand.NONE, Demand.NONE);
+            run(() -> handle(new SidecarEvent.TargetAnnounced(announcement)));
+            mWalk.mAgenda.after(ANNOUNCE_MILLIS, this::announce);
+        }
+    }
+
+    @Override
+    void tick() {
+        run(() -> handle(new SidecarEvent.Tick()));
+    }
+
+    @Override
+    void perform() {
+        mCore.actions().forEach(this::perform);
+    }
+
+    private void perform(SidecarAction action) {
+        mWalk.trace(mId, action);
+        switch (action) {
+            case SidecarAction.SendToEntry send ->
+                    mWalk.entry(send.entry())
+                            .ifPresent(entry -> mWalk.toEntry(this, entry, send.message()));
+            case SidecarAction.RunTask run -> start(run.task().task());
+            case SidecarAction.StopTask stop -> mWalk.mCallers.count("stops");
+        }
+    }
+
+    private void start(TaskKey task) {
+        mRunning++;
+        if (mRunning > SLOTS) {
+            throw new AssertionError(mName + " runs " + mRunning + " tasks");
+        }
+        mWalk.mCallers.started(task);
+        boolean fails = mWalk.mRandom.nextInt(40) == 0;
+        mWalk.mAgenda.after(
+                20 + mWalk.mRandom.nextInt(400),
+                () -> {
+                    mRunning--;
+                    run(() -> handle(answer(task, fails)));
+                });
+    }
+
+    private static SidecarEvent answer(TaskKey task, boolean fails) {
+        return new TargetAnswered(
+                task,
+                fails ? TargetAnswered.Outcome.FAILED : TargetAnswered.Outcome.COMPLETED,
+                task.id() + "/" + task.index(),
+                1_000);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkFaults.java
@@ -0,0 +1,83 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.List;
+
+/** The faults of a walk. */
+final class WalkFaults {
+    private static final int KINDS = 7;
+
+    private WalkFaults() {}
+
+    /** Makes one fault happen, which ends by itself some time later. */
+    static void strike(Walk walk) {
+        switch (walk.mRandom.nextInt(KINDS)) {
+            case 0 -> replaceEntry(walk);
+            case 1 -> replaceSidecar(walk);
+            case 2 -> freeze(walk, any(walk, walk.entries()));
+            case 3 -> freeze(walk, any(walk, walk.sidecars()));
+            case 4 -> storeOutage(walk);
+            case 5 -> cut(any(walk, walk.entries()), walk);
+            default -> leave(walk);
+        }
+    }
+
+    private static void replaceEntry(Walk walk) {
+        EntryNode entry = any(walk, walk.entries());
+        walk.mCallers.count("entry killed");
+        entry.kill();
+        walk.mAgenda.after(span(walk), () -> walk.startEntry(entry.mName));
+    }
+
+    private static void replaceSidecar(Walk walk) {
+        SidecarNode sidecar = any(walk, walk.sidecars());
+        walk.mCallers.count("sidecar killed");
+        sidecar.kill();
+        walk.mAgenda.after(span(walk), () -> walk.startSidecar(sidecar.mName));
+    }
+
+    private static void freeze(Walk walk, WalkNode node) {
+        walk.mCallers.count("frozen");
+        node.freeze();
+        walk.mAgenda.after(span(walk), node::resume);
+    }
+
+    private static void storeOutage(Walk walk) {
+        walk.mCallers.count("store down");
+        walk.mStore.mDown = true;
+        walk.mAgenda.after(
+                span(walk),
+                () -> {
+                    walk.mStore.mDown = false;
+                    walk.mStore.announce();
+                });
+    }
+
+    private static void cut(WalkNode node, Walk walk) {
+        walk.mCallers.count("links cut");
+        for (WalkLink link : List.copyOf(node.mLinks.values())) {
+            if (walk.chance(0.5)) {
+                link.cut();
+            }
+        }
+    }
+
+    private static void leave(Walk walk) {
+        EntryNode entry = any(walk, walk.entries());
+        walk.mCallers.count("entry leaving");
+        entry.run(() -> entry.handle(new EntryEvent.LeaveRequested()));
+        walk.mAgenda.after(
+                span(walk),
+                () -> {
+                    entry.kill();
+                    walk.startEntry(entry.mName);
+                });
+    }
+
+    private static long span(Walk walk) {
+        return 50 + walk.mRandom.nextInt(7_000);
+    }
+
+    private static <T> T any(Walk walk, List<T> nodes) {
+        return nodes.get(walk.mRandom.nextInt(nodes.size()));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkNode.java
@@ -0,0 +1,64 @@
+package org.jackdawsaddle.internal.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One process of a walk: alive or dead, running or frozen. */
+abstract class WalkNode {
+    final Walk mWalk;
+    final String mName;
+    final Map<WalkNode, WalkLink> mLinks = new LinkedHashMap<>();
+    private final List<Runnable> mBacklog = new ArrayList<>();
+    boolean mAlive = true;
+    boolean mFrozen;
+    long mClockOffset;
+
+    WalkNode(Walk walk, String name) {
+        mWalk = walk;
+        mName = name;
+    }
+
+    long clock() {
+        return mWalk.mAgenda.now() + mClockOffset;
+    }
+
+    /** Runs work of this process now, or when it is resumed. */
+    void run(Runnable work) {
+        if (!mAlive) {
+            return;
+        }
+        if (mFrozen) {
+            mBacklog.add(work);
+            return;
+        }
+        work.run();
+        perform();
+    }
+
+    void freeze() {
+        mFrozen = true;
+    }
+
+    void resume() {
+        if (mFrozen) {
+            mFrozen = false;
+            List<Runnable> backlog = List.copyOf(mBacklog);
+            mBacklog.clear();
+            backlog.forEach(this::run);
+        }
+    }
+
+    void kill() {
+        mAlive = false;
+        mBacklog.clear();
+        List.copyOf(mLinks.values()).forEach(WalkLink::cut);
+    }
+
+    /** Does what the decisions ask for. */
+    abstract void perform();
+
+    /** Lets time pass. */
+    abstract void tick();
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -51,7 +51,7 @@
         mResults = new ResultController(mBoard, speeds, new RetryBudget(), ender);
         mRouting = new RoutingController(mBoard, mDispatch);
         mConfiguration = new ConfigurationController(mBoard);
-        mHandover = new PartitionHandover(mBoard, mClaims, mRouting);
+        mHandover = new PartitionHandover(mBoard, mClaims, mRecovery, mRouting);
         mWelcomes = new Welcomes(mBoard);
         mStore =
                 new StoreController(
@@ -278,8 +278,8 @@
                     mConfiguration.onPeerRevision(peer, hello.revision());
             case PeerMessage.SubmitJob submit -> mRouting.onSubmitted(peer, submit);
             case PeerMessage.JobAnswered answered ->
-                    mRouting.onAnswered(answered.token(), answered.answer());
-            case PeerMessage.JobMoved moved -> mRouting.onMoved(moved.token());
+                    mRouting.onAnswered(peer, answered.token(), answered.answer());
+            case PeerMessage.JobMoved moved -> mRouting.onMoved(peer, moved.token());
             case PeerMessage.QueryJob query ->
                     mBoard.mOutbox.sendToPeer(
                             peer,
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Job.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Job.java
@@ -78,6 +78,11 @@
         return mTouched > 0;
     }
 
+    /** Notes that an earlier owner may have started a task. */
+    void assumeTouched() {
+        mTouched++;
+    }
+
     /** Returns whether every task was started, or may have been. */
     boolean allTouched() {
         return Arrays.stream(mStates).noneMatch(state -> state == TaskState.QUEUED);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/JobBook.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/JobBook.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,13 +21,13 @@
     private static final JobAnswer ANSWER_DROPPED =
             new JobAnswer.Failed(ErrorCode.ANSWER_EXPIRED, "The answer was dropped.");
 
-    private final Map<SubmissionId, Job> mInHand = new HashMap<>();
+    private final Map<SubmissionId, Job> mInHand = new LinkedHashMap<>();
     private final Map<SubmissionId, EndedJob> mEnded = new HashMap<>();
     private final PriorityQueue<Job> mDeadlines =
             new PriorityQueue<>(Comparator.comparingLong(Job::deadline));
     private final Deque<SubmissionId> mForgetting = new ArrayDeque<>();
     private final Deque<SubmissionId> mAnswersKept = new ArrayDeque<>();
-    private final Map<String, JobQueue> mQueues = new HashMap<>();
+    private final Map<String, JobQueue> mQueues = new LinkedHashMap<>();
     private final LimitUse mLimits = new LimitUse();
     private long mAnswerChars;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,7 +31,7 @@
     Phase mPhase = Phase.SEALING;
     long mVersion;
     private PartitionRecord mRecord;
-    private Set<NodeId> mInUse = Set.of();
+    private Set<NodeId> mInUse = new LinkedHashSet<>();
     Optional<PartitionRecord> mPending = Optional.empty();
     long mActiveSince;
     long mDoubtUntil;
@@ -50,7 +51,7 @@
         mRecord = record;
         mVersion = version;
         mPending = Optional.empty();
-        mInUse = Set.copyOf(record.inUse());
+        mInUse = new LinkedHashSet<>(record.inUse());
     }
 
     PartitionRecord record() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
@@ -147,7 +147,7 @@
         for (RosterMember member : partition.record().roster()) {
             long horizon = 0;
             if (!member.inUse()) {
-                horizon = member.unusedSince();
+                horizon = member.unusedSince() + Timing.CLOCK_TOLERANCE_MILLIS;
             } else if (superseded(member.sidecar())) {
                 horizon = successorStart(member.sidecar()) + Timing.CLOCK_TOLERANCE_MILLIS;
             }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionHandover.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionHandover.java
@@ -7,11 +7,17 @@
 final class PartitionHandover {
     private final EntryBoard mBoard;
     private final ClaimController mClaims;
+    private final RecoveryController mRecovery;
     private final RoutingController mRouting;
 
-    PartitionHandover(EntryBoard board, ClaimController claims, RoutingController routing) {
+    PartitionHandover(
+            EntryBoard board,
+            ClaimController claims,
+            RecoveryController recovery,
+            RoutingController routing) {
         mBoard = board;
         mClaims = claims;
+        mRecovery = recovery;
         mRouting = routing;
     }
 
@@ -35,6 +41,7 @@
             sidecar.mActiveStamp = 0;
             sidecar.mCandidateRound = 0;
         }
+        mRecovery.onPartitionLost(partition);
         mRouting.giveBack(partition);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
@@ -24,15 +24,20 @@
  */
 final class RecoveryController {
     private static final class OpenInquiry {
+        final OwnedPartition mPartition;
         final Set<NodeId> mAwaited = new HashSet<>();
-        final Map<SubmissionId, Job> mJobs = new HashMap<>();
+        final Map<SubmissionId, Job> mJobs = new LinkedHashMap<>();
+
+        OpenInquiry(OwnedPartition partition) {
+            mPartition = partition;
+        }
     }
 
     private final EntryBoard mBoard;
     private final JobEnder mEnder;
     private final Map<OwnedPartition, Map<SubmissionId, Job>> mCollected = new LinkedHashMap<>();
-    private final Map<Long, OpenInquiry> mOpen = new HashMap<>();
-    private final Map<Long, Set<TaskKey>> mRunningAsked = new HashMap<>();
+    private final Map<Long, OpenInquiry> mOpen = new LinkedHashMap<>();
+    private final Map<Long, List<TaskKey>> mRunningAsked = new HashMap<>();
     private long mNumber;
 
     RecoveryController(EntryBoard board, JobEnder ender) {
@@ -55,7 +60,7 @@
                 sidecar.mRunning.keySet().stream().map(TaskKey::id).distinct().toList();
         if (!ids.isEmpty()) {
             mNumber++;
-            mRunningAsked.put(mNumber, Set.copyOf(sidecar.mRunning.keySet()));
+            mRunningAsked.put(mNumber, List.copyOf(sidecar.mRunning.keySet()));
             mBoard.mOutbox.send(
                     sidecar.node(), new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
         }
@@ -85,6 +90,12 @@
         finishIfWhole(partition, answer.number(), open, admit);
     }
 
+    /** Drops all inquiries of a partition that has another owner. */
+    void onPartitionLost(OwnedPartition partition) {
+        mCollected.remove(partition);
+        mOpen.values().removeIf(open -> open.mPartition == partition);
+    }
+
     /** Stops waiting for a sidecar that is out of reach. */
     void onSidecarLost(
             OwnedPartition partition, NodeId sidecar, BiConsumer<OwnedPartition, Job> admit) {
@@ -102,18 +113,20 @@
             OwnedPartition partition,
             Map<SubmissionId, Job> jobs,
             BiConsumer<OwnedPartition, Job> admit) {
-        OpenInquiry open = new OpenInquiry();
+        OpenInquiry open = new OpenInquiry(partition);
         open.mJobs.putAll(jobs);
         mNumber++;
         mOpen.put(mNumber, open);
         List<SubmissionId> ids = List.copyOf(jobs.keySet());
-        for (NodeId member : partition.inUse()) {
-            Optional<SidecarView> sidecar = mBoard.sidecar(member);
+        for (RosterMember member : partition.record().roster()) {
+            NodeId node = member.sidecar();
+            boolean usedBefore = member.inUse() || member.unusedSince() >= partition.mActiveSince;
+            Optional<SidecarView> sidecar = mBoard.sidecar(node);
             if (sidecar.isPresent() && sidecar.get().mConnected) {
-                open.mAwaited.add(member);
+                open.mAwaited.add(node);
                 mBoard.mOutbox.send(
-                        member, new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
-            } else {
+                        node, new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
+            } else if (usedBefore) {
                 partition.mUnknowableUntil =
                         Math.max(partition.mUnknowableUntil, partition.mDoubtUntil);
             }
@@ -140,8 +153,10 @@
     private void conclude(
             OwnedPartition partition, Job job, BiConsumer<OwnedPartition, Job> admit) {
         boolean unknowable = job.mRequest.id().unixMillis() <= partition.mUnknowableUntil;
-        boolean accounted = job.allTouched();
-        if (unknowable && !accounted && !job.retriable()) {
+        boolean doubtful = unknowable && !job.allTouched();
+        if (doubtful && job.retriable()) {
+            job.assumeTouched();
+        } else if (doubtful) {
             String detail = "A sidecar that may have started it is out of reach.";
             mEnder.fail(partition, job, ErrorCode.TARGET_LOST, detail);
             return;
@@ -181,7 +196,7 @@
      * @return one result for each task asked for, or none if the inquiry was of another type
      */
     List<TaskResult> resultsOfRunning(InquiryAnswer answer) {
-        Set<TaskKey> asked = mRunningAsked.remove(answer.number());
+        List<TaskKey> asked = mRunningAsked.remove(answer.number());
         if (asked == null) {
             return List.of();
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RoutingController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RoutingController.java
@@ -25,6 +25,7 @@
 final class RoutingController {
     private static final long ANSWER_GRACE_MILLIS = 1_000;
     private static final long REROUTE_MILLIS = 100;
+    private static final long QUERY_PATIENCE_MILLIS = 2_000;
 
     private static final class Route {
         final JobRequest mRequest;
@@ -41,6 +42,7 @@
     private final EntryBoard mBoard;
     private final DispatchController mDispatch;
     private final Map<Long, Route> mRoutes = new LinkedHashMap<>();
+    private final Map<Long, Long> mQueries = new LinkedHashMap<>();
 
     RoutingController(EntryBoard board, DispatchController dispatch) {
         mBoard = board;
@@ -73,16 +75,22 @@
         }
     }
 
-    /** Takes a peer's answer to a job passed on, and gives it to the caller. */
-    void onAnswered(long token, JobAnswer answer) {
-        mRoutes.remove(token);
-        mBoard.mOutbox.answerCaller(token, answer);
+    /**
+     * Takes a peer's answer to a job or query passed on, and gives it to the caller. An answer of a
+     * peer from which the job was taken back is dropped: its new owner may decide otherwise.
+     */
+    void onAnswered(NodeId peer, long token, JobAnswer answer) {
+        if (mQueries.remove(token) != null || sentTo(peer, token).isPresent()) {
+            mRoutes.remove(token);
+            mBoard.mOutbox.answerCaller(token, answer);
+        }
     }
 
     /** Takes back a job whose partition has another owner. */
-    void onMoved(long token) {
-        Route route = mRoutes.get(token);
-        if (route != null) {
+    void onMoved(NodeId peer, long token) {
+        Optional<Route> moved = sentTo(peer, token);
+        if (moved.isPresent()) {
+            Route route = moved.get();
             route.mSentTo = Optional.empty();
             route.mNotBefore = mBoard.mNow + REROUTE_MILLIS;
         }
@@ -99,9 +107,7 @@
 
     /** Brings the jobs that wait for an owner on their way, and gives up those out of time. */
     void onTick() {
-        if (mRoutes.isEmpty()) {
-            return;
-        }
+        expireQueries();
         for (Map.Entry<Long, Route> entry : List.copyOf(mRoutes.entrySet())) {
             Route route = entry.getValue();
             long giveUpAt = route.mRequest.deadline() + ANSWER_GRACE_MILLIS;
@@ -117,10 +123,30 @@
         }
     }
 
+    private void expireQueries() {
+        List<Long> expired =
+                mQueries.entrySet().stream()
+                        .filter(query -> mBoard.mNow >= query.getValue())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        for (long token : expired) {
+            mQueries.remove(token);
+            String detail = "The owner did not answer.";
+            mBoard.mOutbox.answerCaller(
+                    token, new JobAnswer.Failed(ErrorCode.OWNER_UNREACHABLE, detail));
+        }
+    }
+
+    private Optional<Route> sentTo(NodeId peer, long token) {
+        return Optional.ofNullable(mRoutes.get(token))
+                .filter(route -> route.mSentTo.filter(peer::equals).isPresent());
+    }
+
     /** Returns the unfinished jobs of a lost partition to their callers' entries. */
     void giveBack(OwnedPartition partition) {
         for (Job job : partition.mBook.inHand()) {
             job.mWaiters.forEach(waiter -> giveBack(job.mRequest, waiter));
+            job.mWaiters.clear();
         }
         List<HeldSubmission> held = new ArrayList<>(partition.mHeld);
         held.forEach(submission -> giveBack(submission.request(), submission.waiter()));
@@ -146,6 +172,7 @@
                     token, new JobAnswer.Failed(ErrorCode.OWNER_UNREACHABLE, detail));
             return;
         }
+        mQueries.put(token, mBoard.mNow + QUERY_PATIENCE_MILLIS);
         mBoard.mOutbox.sendToPeer(owner.get(), new QueryJob(token, id, service));
     }
 
