--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/AdminClient.java
@@ -0,0 +1,85 @@
+package org.jackdawsaddle.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.errors.JackdawException;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import picocli.CommandLine.Option;
+
+/** The options by which operators reach an entry, and the calls that they make there. */
+final class AdminClient {
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    @Option(
+            names = {"-e", "--entry"},
+            paramLabel = "HOST:PORT",
+            defaultValue = "127.0.0.1:8080",
+            description = "Any entry. Default: ${DEFAULT-VALUE}.")
+    private String mEntry;
+
+    @Option(
+            names = "--token",
+            defaultValue = "${env:JACKDAWSADDLE_TOKEN:-}",
+            description = "The administration token. Default: $JACKDAWSADDLE_TOKEN.")
+    private String mToken;
+
+    private final UnixClock mClock = new UnixClock();
+
+    /** Returns the published configuration with its audit trail. */
+    ConfigurationHead configuration() {
+        String body = expect(call("GET", "/admin/v1/configuration", "")).body();
+        return StoreJson.read(body, ConfigurationHead.class);
+    }
+
+    /** Returns the status of all entries that answer. */
+    List<EntryStatus> status() {
+        String body = expect(call("GET", "/admin/v1/status", "")).body();
+        return Arrays.asList(StoreJson.read(body, EntryStatus[].class));
+    }
+
+    /**
+     * Returns the answer if it succeeded.
+     *
+     * @throws JackdawException with the code of the answer otherwise
+     */
+    HttpAnswer expect(HttpAnswer answer) {
+        if (answer.succeeded()) {
+            return answer;
+        }
+        JsonNode body = StoreJson.read(answer.body(), JsonNode.class);
+        ErrorCode code = ErrorCode.of(body.path("code").asText());
+        JsonNode findings = body.path("findings");
+        String detail = findings.isMissingNode() ? body.path("detail").asText() : "" + findings;
+        throw new JackdawException(code, detail);
+    }
+
+    /**
+     * Makes a call with the token.
+     *
+     * @throws JackdawException if the entry cannot be reached
+     */
+    HttpAnswer call(String method, String path, String body) {
+        HttpCaller caller = new HttpCaller(mClock, 1);
+        caller.start();
+        try {
+            Map<String, String> headers = Map.of("Authorization", "Bearer " + mToken);
+            long deadline = mClock.now() + PATIENCE_MILLIS;
+            return caller.call(new HttpCall(method, mEntry, path, headers, body, deadline)).join();
+        } catch (CompletionException e) {
+            String detail = "entry " + mEntry + ": " + e.getCause().getMessage();
+            throw new JackdawException(ErrorCode.OWNER_UNREACHABLE, detail);
+        } finally {
+            caller.stop();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/CheckCommand.java
@@ -0,0 +1,45 @@
+package org.jackdawsaddle.pgm;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.jackdawsaddle.config.ConfigurationReader;
+import org.jackdawsaddle.config.Finding;
+import org.jackdawsaddle.internal.http.JsonBody;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Checks a set of objects as a whole. */
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks the objects of the files as one set and lists every finding.")
+final class CheckCommand implements Callable<Integer> {
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "Files with objects, in JSON.")
+    private List<Path> mFiles;
+
+    @Option(names = "--json", description = "Print JSON in place of text.")
+    private boolean mJson;
+
+    @Spec private CommandSpec mSpec;
+
+    @Override
+    public Integer call() {
+        ConfigurationReader reader = new ConfigurationReader();
+        mFiles.forEach(reader::read);
+        List<Finding> findings = reader.findings();
+        PrintWriter out = mSpec.commandLine().getOut();
+        if (mJson) {
+            out.println(JsonBody.pretty(findings));
+        } else {
+            findings.forEach(finding -> out.println(finding.line()));
+            out.println(findings.size() + " findings");
+        }
+        out.flush();
+        return findings.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DiffCommand.java
@@ -0,0 +1,27 @@
+package org.jackdawsaddle.pgm;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.jackdawsaddle.config.ConfigurationDiff;
+import org.jackdawsaddle.config.ConfigurationReader;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Compares files with the objects in force. */
+@Command(
+        name = "diff",
+        mixinStandardHelpOptions = true,
+        description = "Lists what publishing the files would add, change and remove.")
+final class DiffCommand extends AdminCommand {
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "Files with objects, in JSON.")
+    private List<Path> mFiles;
+
+    @Override
+    public Integer call() {
+        ConfigurationReader reader = new ConfigurationReader();
+        mFiles.forEach(reader::read);
+        List<String> lines = ConfigurationDiff.lines(client().configuration().set(), reader.set());
+        print(lines, lines);
+        return lines.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DrainCommand.java
@@ -0,0 +1,63 @@
+package org.jackdawsaddle.pgm;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawsaddle.config.AuditRecord;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.config.TargetObject;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Drains a target by a published change of its object. */
+@Command(
+        name = "drain",
+        mixinStandardHelpOptions = true,
+        description = "Publishes that a target takes no new work; what it runs is finished.")
+final class DrainCommand extends AdminCommand {
+    @Parameters(paramLabel = "TARGET", description = "The name of the target.")
+    private String mTarget;
+
+    @Option(names = "--undo", description = "Let the target take work again.")
+    private boolean mUndo;
+
+    @Mixin private Publication mPublication;
+
+    @Override
+    public Integer call() {
+        ConfigurationHead head = client().configuration();
+        ConfigurationSet set = head.set();
+        List<TargetObject> targets = new ArrayList<>(set.targets());
+        TargetObject known =
+                set.target(mTarget).orElseGet(() -> new TargetObject(mTarget, service(), false, 0));
+        targets.removeIf(target -> target.name().equals(mTarget));
+        targets.add(new TargetObject(mTarget, known.service(), !mUndo, known.slots()));
+        ConfigurationSet changed =
+                new ConfigurationSet(
+                        set.services(), targets, set.jobKinds(), set.limits(), set.teams());
+        AuditRecord record = mPublication.publish(client(), head.revision(), changed);
+        List<String> missing = mPublication.await(client(), record.revision());
+        List<String> lines = new ArrayList<>();
+        lines.add(
+                mTarget
+                        + (mUndo ? " takes work" : " is drained")
+                        + ", revision "
+                        + record.revision());
+        missing.forEach(process -> lines.add("not confirmed: " + process));
+        print(new PublishCommand.Result(record, missing), lines);
+        return missing.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+
+    private String service() {
+        return client().status().stream()
+                .flatMap(status -> status.targets().stream())
+                .filter(target -> target.target().equals(mTarget))
+                .map(EntryStatus.TargetStatus::service)
+                .findFirst()
+                .orElseThrow(() -> new RequestInvalidException("TARGET: no target " + mTarget));
+    }
+}
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -23,7 +23,19 @@
             SidecarCommand.class,
             StoreCommand.class,
             TargetCommand.class,
+            CheckCommand.class,
+            PublishCommand.class,
+            ShowCommand.class,
+            DiffCommand.class,
+            AuditCommand.class,
+            DrainCommand.class,
+            StatusCommand.class,
+            SubmitCommand.class,
+            ForgetCommand.class,
+            SettingsCommand.class,
+            ReplayCommand.class,
             DemoCommand.class,
+            MeasureCommand.class,
             AutoComplete.GenerateCompletion.class
         })
 public final class Main {
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/MeasureCommand.java
@@ -0,0 +1,160 @@
+package org.jackdawsaddle.pgm;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.load.Measurement;
+import org.jackdawsaddle.standin.load.Policy;
+import org.jackdawsaddle.standin.load.PolicyResult;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures response times and messages against the ideal and against simple policies. */
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
+        description = "Measures response over ideal and messages a task, in this process.")
+final class MeasureCommand implements Callable<Integer> {
+    private static final double QUICK_MILLIS = 32_000;
+    private static final double FULL_MILLIS = 128_000;
+
+    /** One row of the table, as written with --json. */
+    private record Row(
+            Policy policy,
+            double medianOverIdeal,
+            double meanOverIdeal,
+            double p99OverIdeal,
+            double p999OverIdeal,
+            double meanMillis,
+            double messagesPerTask,
+            Map<String, Double> messagesByType,
+            long answered,
+            long notRun,
+            double refusalP99Millis,
+            long failed,
+            long doubled,
+            double workOverIdeal) {}
+
+    @Option(names = "--quick", description = "End within 45 s.")
+    private boolean mQuick;
+
+    @Option(names = "--policy", description = "Only this one: ${COMPLETION-CANDIDATES}.")
+    private Policy mPolicy;
+
+    @Option(names = "--load", description = "Share of the capacity. Default: ${DEFAULT-VALUE}.")
+    private double mLoad = 0.8;
+
+    @Option(names = "--deployment", description = "${COMPLETION-CANDIDATES}.")
+    private Deployment mDeployment = Deployment.FJORDHORN;
+
+    @Option(names = "--entries", description = "Entries. Default: ${DEFAULT-VALUE}.")
+    private int mEntries = 3;
+
+    @Option(names = "--seed", description = "Seed. Default: ${DEFAULT-VALUE}.")
+    private long mSeed = 1;
+
+    @Option(names = "--queue-order", description = "Order of service of the product.")
+    private String mQueueOrder = "FIRST_COME";
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Write the rows there too.")
+    private Path mJson;
+
+    @Spec private CommandSpec mSpec;
+
+    @Override
+    public Integer call() throws IOException {
+        Measurement measurement =
+                new Measurement(
+                        mDeployment,
+                        mLoad,
+                        mEntries,
+                        mSeed,
+                        mQuick ? QUICK_MILLIS : FULL_MILLIS,
+                        mQueueOrder);
+        Optional<Policy> only =
+                mQuick && mPolicy == null ? Optional.empty() : Optional.ofNullable(mPolicy);
+        List<PolicyResult> results = measurement.run(only);
+        List<Row> rows = new ArrayList<>();
+        results.forEach(result -> rows.add(row(results.getFirst(), result)));
+        print(rows);
+        if (mJson != null) {
+            Files.writeString(mJson, JsonBody.pretty(rows) + "\n");
+        }
+        return rows.stream().allMatch(row -> row.doubled() == 0) ? Main.OK : Main.NEGATIVE;
+    }
+
+    private static Row row(PolicyResult ideal, PolicyResult result) {
+        return new Row(
+                result.policy(),
+                result.responses().median() / ideal.responses().median(),
+                result.responses().mean() / ideal.responses().mean(),
+                result.responses().p99() / ideal.responses().p99(),
+                result.responses().p999() / ideal.responses().p999(),
+                result.responses().mean(),
+                result.messagesPerTask(),
+                result.messagesByType(),
+                result.responses().count(),
+                result.notRun(),
+                result.refusalP99Millis(),
+                result.failed(),
+                result.doubled(),
+                result.completedWorkMillis() / ideal.completedWorkMillis());
+    }
+
+    private void print(List<Row> rows) {
+        PrintWriter out = mSpec.commandLine().getOut();
+        out.printf(
+                Locale.ROOT,
+                "%-15s %7s %7s %7s %7s %9s %9s %7s %8s %7s %8s%n",
+                "policy",
+                "median",
+                "mean",
+                "p99",
+                "p99.9",
+                "msgs/task",
+                "answered",
+                "not-run",
+                "refusal",
+                "failed",
+                "doubled");
+        for (Row row : rows) {
+            out.printf(
+                    Locale.ROOT,
+                    "%-15s %7.3f %7.3f %7.3f %7.3f %9.3f %9d %7d %6.1fms %7d %8d%n",
+                    row.policy().name().toLowerCase(Locale.ROOT),
+                    row.medianOverIdeal(),
+                    row.meanOverIdeal(),
+                    row.p99OverIdeal(),
+                    row.p999OverIdeal(),
+                    row.messagesPerTask(),
+                    row.answered(),
+                    row.notRun(),
+                    row.refusalP99Millis(),
+                    row.failed(),
+                    row.doubled());
+        }
+        Row last = rows.getLast();
+        last.messagesByType()
+                .forEach((type, count) -> out.printf(Locale.ROOT, "  %-24s %.4f%n", type, count));
+        out.printf(Locale.ROOT, "work answered over ideal %.3f%n", last.workOverIdeal());
+        out.printf(
+                Locale.ROOT,
+                "response median %.3f p99 %.3f messages/task %.3f doubled %d%n",
+                last.medianOverIdeal(),
+                last.p99OverIdeal(),
+                last.messagesPerTask(),
+                last.doubled());
+        out.flush();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Publication.java
@@ -0,0 +1,94 @@
+package org.jackdawsaddle.pgm;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.jackdawsaddle.config.AuditRecord;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.errors.JackdawException;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import picocli.CommandLine.Option;
+
+/** The options of a publication, and how it is made and awaited. */
+final class Publication {
+    private static final long IN_FORCE_MILLIS = 8_000;
+    private static final long POLL_MILLIS = 100;
+    private static final int TRIES = 3;
+
+    /** What is sent to the entry. */
+    private record Body(
+            long baseRevision,
+            String publicationId,
+            String author,
+            String reason,
+            ConfigurationSet set) {}
+
+    @Option(
+            names = "--author",
+            defaultValue = "${env:USER:-operator}",
+            description = "Who publishes. Default: $USER.")
+    private String mAuthor;
+
+    @Option(
+            names = {"-m", "--reason"},
+            required = true,
+            description = "Why, for the audit trail.")
+    private String mReason;
+
+    @Option(
+            names = "--wait",
+            description = "Wait up to 8 s until the revision is in force everywhere.")
+    private boolean mWait;
+
+    /** Publishes a set; a lost answer is settled by the same publication id. */
+    AuditRecord publish(AdminClient client, long baseRevision, ConfigurationSet set) {
+        String id = UUID.randomUUID().toString();
+        String body = StoreJson.write(new Body(baseRevision, id, mAuthor, mReason, set));
+        HttpAnswer answer = client.call("PUT", "/admin/v1/configuration", body);
+        for (int tried = 1; tried < TRIES && unsettled(answer); tried++) {
+            answer = client.call("PUT", "/admin/v1/configuration", body);
+        }
+        return StoreJson.read(client.expect(answer).body(), AuditRecord.class);
+    }
+
+    /** Waits if that is wanted; returns the processes that have not confirmed the revision. */
+    List<String> await(AdminClient client, long revision) {
+        if (!mWait) {
+            return List.of();
+        }
+        long deadline = System.nanoTime() + IN_FORCE_MILLIS * 1_000_000;
+        List<String> missing = missing(client, revision);
+        while (!missing.isEmpty() && System.nanoTime() < deadline) {
+            pause();
+            missing = missing(client, revision);
+        }
+        return missing;
+    }
+
+    private static boolean unsettled(HttpAnswer answer) {
+        return answer.status() == ErrorCode.STORE_UNAVAILABLE.httpStatus();
+    }
+
+    private static List<String> missing(AdminClient client, long revision) {
+        List<String> missing = new ArrayList<>();
+        for (EntryStatus status : client.status()) {
+            if (status.revision() < revision) {
+                missing.add("entry " + status.entry());
+            }
+            status.unconfirmed(revision).forEach(target -> missing.add("sidecar of " + target));
+        }
+        return missing;
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new JackdawException(ErrorCode.DRAINING, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PublishCommand.java
@@ -0,0 +1,56 @@
+package org.jackdawsaddle.pgm;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawsaddle.config.AuditRecord;
+import org.jackdawsaddle.config.ConfigurationReader;
+import org.jackdawsaddle.config.Finding;
+import org.jackdawsaddle.errors.ConfigurationInvalidException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Publishes a checked set of objects. */
+@Command(
+        name = "publish",
+        mixinStandardHelpOptions = true,
+        description = "Checks the objects of the files and publishes them as the whole set.")
+final class PublishCommand extends AdminCommand {
+    /** What is printed as JSON. */
+    record Result(AuditRecord published, List<String> unconfirmed) {}
+
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "Files with objects, in JSON.")
+    private List<Path> mFiles;
+
+    @Option(
+            names = "--base",
+            paramLabel = "REVISION",
+            description = "The revision that the change was made on. Default: the present one.")
+    private Long mBase;
+
+    @Mixin private Publication mPublication;
+
+    @Override
+    public Integer call() {
+        ConfigurationReader reader = new ConfigurationReader();
+        mFiles.forEach(reader::read);
+        List<Finding> findings = reader.findings();
+        if (!findings.isEmpty()) {
+            throw new ConfigurationInvalidException(findings);
+        }
+        long base = mBase == null ? client().configuration().revision() : mBase;
+        AuditRecord record = mPublication.publish(client(), base, reader.set());
+        return report(record, mPublication.await(client(), record.revision()));
+    }
+
+    private int report(AuditRecord record, List<String> missing) {
+        List<String> lines = new ArrayList<>();
+        lines.add("published revision " + record.revision() + " " + record.hash());
+        lines.addAll(record.changes());
+        missing.forEach(process -> lines.add("not confirmed: " + process));
+        print(new Result(record, missing), lines);
+        return missing.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ReplayCommand.java
@@ -0,0 +1,54 @@
+package org.jackdawsaddle.pgm;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.trace.TraceReplay;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Replays a recorded trace. */
+@Command(
+        name = "replay",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs a recorded trace through the decisions of an entry or a sidecar.",
+            "Prints the first difference from the stated outcomes and exits 1, or exits 0."
+        })
+final class ReplayCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "TRACE", description = "A file of JSON lines; see docs/DESIGN.md.")
+    private Path mFile;
+
+    @Spec private CommandSpec mSpec;
+
+    @Override
+    public Integer call() {
+        List<String> lines = read();
+        Optional<TraceReplay.Difference> difference = TraceReplay.run(lines);
+        PrintWriter out = mSpec.commandLine().getOut();
+        if (difference.isEmpty()) {
+            out.println(lines.size() + " lines, no difference");
+        } else {
+            out.println("line " + difference.get().line());
+            out.println("  expected " + difference.get().expected());
+            out.println("  actual   " + difference.get().actual());
+        }
+        out.flush();
+        return difference.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+
+    private List<String> read() {
+        try {
+            return Files.readAllLines(mFile);
+        } catch (IOException e) {
+            throw new RequestInvalidException("TRACE: " + mFile + " cannot be read");
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ShowCommand.java
@@ -0,0 +1,20 @@
+package org.jackdawsaddle.pgm;
+
+import java.util.List;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.internal.http.JsonBody;
+import picocli.CommandLine.Command;
+
+/** Shows the objects in force. */
+@Command(
+        name = "show",
+        mixinStandardHelpOptions = true,
+        description = "Prints the published set, in the form that publish reads.")
+final class ShowCommand extends AdminCommand {
+    @Override
+    public Integer call() {
+        ConfigurationHead head = client().configuration();
+        print(head.set(), List.of(JsonBody.pretty(head.set())));
+        return Main.OK;
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/SubmitCommand.java
@@ -0,0 +1,57 @@
+package org.jackdawsaddle.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.job.TaskRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Submits a job and prints its answer. */
+@Command(
+        name = "submit",
+        mixinStandardHelpOptions = true,
+        description = "Submits a job with one task for each payload and prints the answer.")
+final class SubmitCommand extends AdminCommand {
+    /** The body of the request. */
+    private record Body(String team, String kind, long timeoutMillis, List<TaskRequest> tasks) {}
+
+    @Option(names = "--team", required = true, description = "The team.")
+    private String mTeam;
+
+    @Option(names = "--kind", required = true, description = "The job kind.")
+    private String mKind;
+
+    @Option(names = "--id", description = "A UUID of version 7. Default: one is issued.")
+    private String mId;
+
+    @Option(names = "--timeout-millis", description = "The deadline. Default: that of the kind.")
+    private long mTimeoutMillis;
+
+    @Parameters(arity = "1..*", paramLabel = "PAYLOAD", description = "One for each task.")
+    private List<String> mPayloads;
+
+    @Override
+    public Integer call() {
+        List<TaskRequest> tasks = new ArrayList<>();
+        mPayloads.forEach(payload -> tasks.add(new TaskRequest(payload, 0)));
+        String body = StoreJson.write(new Body(mTeam, mKind, mTimeoutMillis, tasks));
+        HttpAnswer answer =
+                mId == null
+                        ? client().call("POST", "/v1/jobs", body)
+                        : client().call("PUT", "/v1/jobs/" + mId, body);
+        JsonNode json = StoreJson.read(answer.body(), JsonNode.class);
+        List<String> lines = new ArrayList<>();
+        lines.add(json.path("outcome").asText() + " " + json.path("id").asText());
+        json.path("answers").forEach(text -> lines.add(text.asText()));
+        if (!answer.succeeded()) {
+            lines.add(json.path("code").asText() + ": " + json.path("detail").asText());
+            lines.add("Remedy: " + json.path("remedy").asText());
+        }
+        print(json, lines);
+        return answer.succeeded() ? Main.OK : Main.NEGATIVE;
+    }
+}
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/FreePorts.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/FreePorts.java
@@ -1,34 +1,40 @@
 package org.jackdawsaddle.standin.fleet;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Finds ports of the loopback address that nothing listens on. */
+/** Finds ports of the loopback address that nothing listens on, below those for connecting. */
 public final class FreePorts {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final int FIRST = 10_000;
+    private static final int LAST = 32_000;
+    private static final int STRIDE = 331;
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * STRIDE % (LAST - FIRST)));
 
     private FreePorts() {}
 
-    /** Returns distinct addresses of the form host:port. */
+    /** Returns distinct addresses of the form host:port that no earlier call has returned. */
     public static List<String> addresses(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
-        try {
-            for (int index = 0; index < count; index++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
-                sockets.add(socket);
-                addresses.add(LOOPBACK + ":" + socket.getLocalPort());
+        while (addresses.size() < count) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), LAST - FIRST);
+            if (free(port)) {
+                addresses.add(LOOPBACK + ":" + port);
             }
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         }
         return addresses;
     }
+
+    private static boolean free(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/LocalFleet.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/LocalFleet.java
@@ -55,12 +55,14 @@
                             "local",
                             mHttpAddresses.get(index),
                             peerAddresses.get(index),
+                            "",
                             storeAddress,
                             TOKEN,
                             1,
                             spec.queueOrder(),
                             MAX_BODY_BYTES,
-                            DRAIN_MILLIS);
+                            DRAIN_MILLIS,
+                            "");
             mEntries.add(new EntryService(settings, mStoreClient, mClock));
         }
         spec.targets()
@@ -106,7 +108,8 @@
             }
             pause();
         }
-        throw new IllegalStateException("The fleet did not start in time");
+        List<EntryStatus> status = mEntries.getFirst().control().status().join();
+        throw new IllegalStateException("The fleet did not start in time: " + status);
     }
 
     /** Waits until the revision is in force on every entry and sidecar, or time is up. */
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/LocalTarget.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/fleet/LocalTarget.java
@@ -26,7 +26,8 @@
                                 spec.dataCentre(),
                                 addresses.getFirst(),
                                 entryAddresses,
-                                DRAIN_MILLIS),
+                                DRAIN_MILLIS,
+                                ""),
                         clock);
         mTarget =
                 new TargetStandIn(
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/JobCaller.java
@@ -0,0 +1,124 @@
+package org.jackdawsaddle.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.job.SubmissionId;
+import org.jackdawsaddle.job.TaskRequest;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.target.TargetStandIn;
+
+/** A caller that chooses its own ids, may resubmit through another entry, and checks answers. */
+public final class JobCaller {
+    private static final long PATIENCE_MILLIS = 40_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final int OK = 200;
+
+    /** The body of a request. */
+    private record Body(String team, String kind, List<TaskRequest> tasks) {}
+
+    /**
+     * An answered request.
+     *
+     * @param id the submission
+     * @param outcome complete, not-run or failed
+     * @param whole whether a complete answer has the answer of every task, in order
+     * @param millis the response time
+     */
+    public record Answered(String id, String outcome, boolean whole, double millis) {
+        /** Returns one answer for two calls of one id, not whole where they contradict. */
+        Answered combine(Answered other) {
+            if (lost()) {
+                return other;
+            }
+            boolean contradict = complete() && other.notRun() || notRun() && other.complete();
+            Answered kept = other.complete() || notRun() && !other.lost() ? other : this;
+            return new Answered(id, kept.outcome, whole && other.whole && !contradict, millis);
+        }
+
+        /** Returns whether the connection broke before an answer. */
+        public boolean lost() {
+            return outcome.equals("lost");
+        }
+
+        /** Returns whether it was answered whole. */
+        public boolean complete() {
+            return outcome.equals("complete");
+        }
+
+        /** Returns whether it was refused as not run. */
+        public boolean notRun() {
+            return outcome.equals("not-run");
+        }
+    }
+
+    private final HttpCaller mCaller;
+    private final UnixClock mClock;
+    private final List<String> mAddresses;
+    private final Deployment mDeployment;
+    private final SecureRandom mRandom = new SecureRandom();
+
+    /** Creates a caller of the entries at the given addresses. */
+    public JobCaller(
+            HttpCaller caller, UnixClock clock, List<String> addresses, Deployment deployment) {
+        mCaller = caller;
+        mClock = clock;
+        mAddresses = List.copyOf(addresses);
+        mDeployment = deployment;
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @param number chooses the entry
+     * @param resubmit whether to submit the same id through the next entry too, at the same moment
+     * @return the answer; both answers of a resubmitted job must agree
+     */
+    public CompletableFuture<Answered> submit(int number, TraceJob job, boolean resubmit) {
+        SubmissionId id = SubmissionId.create(mClock.now(), mRandom);
+        List<TaskRequest> tasks = new ArrayList<>();
+        for (int index = 0; index < job.tasks().size(); index++) {
+            TraceTask task = job.tasks().get(index);
+            String payload = TargetStandIn.payload(task.workMillis(), id + "/" + index);
+            tasks.add(new TaskRequest(payload, task.declaredMillis()));
+        }
+        String kind = tasks.size() == 1 ? mDeployment.writeKind() : mDeployment.batchKind();
+        String body = StoreJson.write(new Body(mDeployment.team(), kind, tasks));
+        CompletableFuture<Answered> first = call(number, id, tasks.size(), body);
+        if (!resubmit) {
+            return first;
+        }
+        CompletableFuture<Answered> second = call(number + 1, id, tasks.size(), body);
+        return first.thenCombine(second, Answered::combine);
+    }
+
+    private CompletableFuture<Answered> call(int number, SubmissionId id, int tasks, String body) {
+        String address = mAddresses.get(number % mAddresses.size());
+        long start = System.nanoTime();
+        long deadline = mClock.now() + PATIENCE_MILLIS;
+        return mCaller.call(new HttpCall("PUT", address, "/v1/jobs/" + id, body, deadline))
+                .handle((answer, failure) -> {
+                    double millis = (System.nanoTime() - start) / NANOS_PER_MILLI;
+                    return failure == null
+                            ? answered(id, tasks, answer, millis)
+                            : new Answered(id.toString(), "lost", true, millis);
+                });
+    }
+
+    private static Answered answered(SubmissionId id, int tasks, HttpAnswer answer, double millis) {
+        JsonNode body = StoreJson.read(answer.body(), JsonNode.class);
+        boolean whole = answer.status() != OK || body.path("answers").size() == tasks;
+        for (int index = 0; answer.status() == OK && index < tasks; index++) {
+            String expected = "done " + id + "/" + index;
+            whole &= body.path("answers").path(index).asText().equals(expected);
+        }
+        return new Answered(id.toString(), body.path("outcome").asText(), whole, millis);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/LiveRun.java
@@ -0,0 +1,145 @@
+package org.jackdawsaddle.standin.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.DoubleAdder;
+import java.util.concurrent.locks.LockSupport;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.job.TaskRequest;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.fleet.LocalFleet;
+import org.jackdawsaddle.standin.target.TargetStandIn;
+
+/** Drives a fleet with a workload, open-loop, by HTTP. */
+public final class LiveRun {
+    private static final int OK = 200;
+    private static final long ANSWER_PATIENCE_MILLIS = 60_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private record Body(String team, String kind, long timeoutMillis, List<TaskRequest> tasks) {}
+
+    private final LocalFleet mFleet;
+    private final Deployment mDeployment;
+    private final WorkloadTrace mTrace;
+    private final double mWarmUpMillis;
+    private final long mTimeoutMillis;
+    private final Responses mResponses = new Responses();
+    private final Responses mRefusals = new Responses();
+    private final AtomicLong mNotRun = new AtomicLong();
+    private final AtomicLong mFailed = new AtomicLong();
+    private final DoubleAdder mWork = new DoubleAdder();
+
+    /**
+     * Creates a run.
+     *
+     * @param warmUpMillis jobs that arrive before are not counted
+     * @param timeoutMillis the deadline of each job, counted from its arrival
+     */
+    public LiveRun(
+            LocalFleet fleet,
+            Deployment deployment,
+            WorkloadTrace trace,
+            double warmUpMillis,
+            long timeoutMillis) {
+        mFleet = fleet;
+        mDeployment = deployment;
+        mTrace = trace;
+        mWarmUpMillis = warmUpMillis;
+        mTimeoutMillis = timeoutMillis;
+    }
+
+    /** Submits every job at its time and waits for all answers. */
+    public PolicyResult run() {
+        Map<String, Long> messagesBefore = Map.of();
+        long tasksBefore = 0;
+        List<CompletableFuture<Void>> open = new ArrayList<>();
+        long start = System.nanoTime();
+        boolean warm = false;
+        for (int index = 0; index < mTrace.jobs().size(); index++) {
+            TraceJob job = mTrace.jobs().get(index);
+            long intended = start + (long) (job.arrivalMillis() * NANOS_PER_MILLI);
+            await(intended);
+            if (!warm && job.arrivalMillis() >= mWarmUpMillis) {
+                warm = true;
+                messagesBefore = mFleet.messages();
+                tasksBefore = starts();
+            }
+            open.add(submit(index, job, intended));
+        }
+        CompletableFuture.allOf(open.toArray(CompletableFuture[]::new)).join();
+        return result(messagesBefore, starts() - tasksBefore);
+    }
+
+    private PolicyResult result(Map<String, Long> messagesBefore, long tasks) {
+        Map<String, Double> byType = new TreeMap<>();
+        double sum = 0;
+        for (Map.Entry<String, Long> type : mFleet.messages().entrySet()) {
+            double count = type.getValue() - messagesBefore.getOrDefault(type.getKey(), 0L);
+            byType.put(type.getKey(), count / tasks);
+            sum += count;
+        }
+        long doubled = mFleet.starts().values().stream().filter(count -> count > 1).count();
+        return new PolicyResult(
+                Policy.JACKDAWSADDLE,
+                mResponses,
+                sum / tasks,
+                byType,
+                mNotRun.get(),
+                mFailed.get(),
+                doubled,
+                mWork.sum(),
+                mRefusals.count() > 0 ? mRefusals.p99() : 0);
+    }
+
+    private long starts() {
+        return mFleet.starts().values().stream().mapToLong(Integer::longValue).sum();
+    }
+
+    private CompletableFuture<Void> submit(int index, TraceJob job, long intended) {
+        List<String> addresses = mFleet.httpAddresses();
+        String address = addresses.get(index % addresses.size());
+        List<TaskRequest> tasks = new ArrayList<>();
+        for (TraceTask task : job.tasks()) {
+            String payload = TargetStandIn.payload(task.workMillis(), "trace");
+            tasks.add(new TaskRequest(payload, task.declaredMillis()));
+        }
+        String kind = tasks.size() == 1 ? mDeployment.writeKind() : mDeployment.batchKind();
+        String body = StoreJson.write(new Body(mDeployment.team(), kind, mTimeoutMillis, tasks));
+        long deadline = mFleet.clock().now() + ANSWER_PATIENCE_MILLIS;
+        return mFleet.caller()
+                .call(new HttpCall("POST", address, "/v1/jobs", body, deadline))
+                .handle((answer, failure) -> {
+                    if (job.arrivalMillis() >= mWarmUpMillis) {
+                        double millis = (System.nanoTime() - intended) / NANOS_PER_MILLI;
+                        count(job, answer, failure, millis);
+                    }
+                    return null;
+                });
+    }
+
+    private void count(TraceJob job, HttpAnswer answer, Throwable failure, double millis) {
+        if (failure == null && answer.status() == OK) {
+            mResponses.add(millis);
+            mWork.add(job.tasks().stream().mapToDouble(TraceTask::workMillis).sum());
+        } else if (failure == null && answer.body().contains("\"not-run\"")) {
+            mNotRun.incrementAndGet();
+            mRefusals.add(millis);
+        } else {
+            mFailed.incrementAndGet();
+        }
+    }
+
+    private static void await(long nanos) {
+        long remaining = nanos - System.nanoTime();
+        while (remaining > 0) {
+            LockSupport.parkNanos(remaining);
+            remaining = nanos - System.nanoTime();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/Measurement.java
@@ -0,0 +1,55 @@
+package org.jackdawsaddle.standin.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.fleet.FleetSpec;
+import org.jackdawsaddle.standin.fleet.LocalFleet;
+
+/**
+ * One comparison of policies on the same workload.
+ *
+ * @param deployment the deployment
+ * @param load the share of the capacity that the workload uses
+ * @param entries the number of entries
+ * @param seed the seed of the workload
+ * @param durationMillis the length of the workload, warm-up included
+ * @param queueOrder the order in which the product serves waiting jobs
+ */
+public record Measurement(
+        Deployment deployment,
+        double load,
+        int entries,
+        long seed,
+        double durationMillis,
+        String queueOrder) {
+    private static final double WARM_UP_MILLIS = 8_000;
+
+    /** Runs the policy, or all, and returns the results, the ideal first. */
+    public List<PolicyResult> run(Optional<Policy> only) {
+        FleetSpec spec = FleetSpec.deployment(deployment, entries).withQueueOrder(queueOrder);
+        WorkloadTrace trace = WorkloadTrace.generate(seed, spec, load, durationMillis);
+        List<PolicyResult> results = new ArrayList<>();
+        for (Policy policy : Policy.values()) {
+            if (policy == Policy.IDEAL || only.isEmpty() || only.get() == policy) {
+                results.add(run(policy, spec, trace));
+            }
+        }
+        return results;
+    }
+
+    private PolicyResult run(Policy policy, FleetSpec spec, WorkloadTrace trace) {
+        if (policy != Policy.JACKDAWSADDLE) {
+            return new PolicyModel(policy, trace, spec, WARM_UP_MILLIS, seed).run();
+        }
+        LocalFleet fleet = new LocalFleet(spec);
+        fleet.start();
+        try {
+            return new LiveRun(fleet, deployment, trace, WARM_UP_MILLIS, deployment.timeoutMillis())
+                    .run();
+        } finally {
+            fleet.stop();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/PolicyResult.java
@@ -0,0 +1,27 @@
+package org.jackdawsaddle.standin.load;
+
+import java.util.Map;
+
+/**
+ * What one policy did with a workload.
+ *
+ * @param policy the policy
+ * @param responses response times of the jobs that were answered whole
+ * @param messagesPerTask messages between processes of the system for each task
+ * @param messagesByType the same by type, for the product only
+ * @param notRun jobs refused as not run
+ * @param failed jobs that failed
+ * @param doubled tasks that were started more than once
+ * @param completedWorkMillis the work of the jobs answered whole, at speed 1
+ * @param refusalP99Millis the 99th percentile of the time to a refusal, 0 without refusals
+ */
+public record PolicyResult(
+        Policy policy,
+        Responses responses,
+        double messagesPerTask,
+        Map<String, Double> messagesByType,
+        long notRun,
+        long failed,
+        long doubled,
+        double completedWorkMillis,
+        double refusalP99Millis) {}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/WorkloadTrace.java
@@ -0,0 +1,97 @@
+package org.jackdawsaddle.standin.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.jackdawsaddle.standin.fleet.FleetSpec;
+import org.jackdawsaddle.standin.fleet.TargetSpec;
+
+/**
+ * The jobs of one run: Poisson arrivals of single requests and of jobs of up to 160 tasks, most
+ * tasks between 50 ms and a second, a few of several seconds, declared times off by a factor.
+ *
+ * @param jobs the jobs in the order of their arrival
+ */
+public record WorkloadTrace(List<TraceJob> jobs) {
+    private static final double SINGLE_SHARE = 0.5;
+    private static final double MAX_TASKS = 160;
+    private static final double MEDIAN_WORK_MILLIS = 180;
+    private static final double WORK_SIGMA = 0.8;
+    private static final double MIN_WORK_MILLIS = 50;
+    private static final double MAX_WORK_MILLIS = 5_000;
+    private static final double DECLARATION_SIGMA = 0.5;
+    private static final int SAMPLES = 100_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Copies the list of jobs. */
+    public WorkloadTrace {
+        jobs = List.copyOf(jobs);
+    }
+
+    /** Returns a workload that uses the given share of the fleet's capacity. */
+    public static WorkloadTrace generate(
+            long seed, FleetSpec fleet, double load, double durationMillis) {
+        Random random = new Random(seed);
+        double capacity = fleet.targets().stream().mapToDouble(WorkloadTrace::workPerMilli).sum();
+        double jobsPerMilli = load * capacity / (meanTasks() * meanWork());
+        List<TraceJob> jobs = new ArrayList<>();
+        double at = 0;
+        while (at < durationMillis) {
+            at += -Math.log(1 - random.nextDouble()) / jobsPerMilli;
+            jobs.add(new TraceJob(at, tasks(random)));
+        }
+        return new WorkloadTrace(jobs);
+    }
+
+    /** Returns the number of tasks of all jobs. */
+    public int tasks() {
+        return jobs.stream().mapToInt(job -> job.tasks().size()).sum();
+    }
+
+    private static double workPerMilli(TargetSpec target) {
+        return target.slots() * target.speed();
+    }
+
+    private static List<TraceTask> tasks(Random random) {
+        int count = 1;
+        if (random.nextDouble() >= SINGLE_SHARE) {
+            count = (int) Math.round(Math.exp(random.nextDouble() * Math.log(MAX_TASKS)));
+        }
+        List<TraceTask> tasks = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            double work = work(random);
+            double error = Math.exp(DECLARATION_SIGMA * random.nextGaussian());
+            tasks.add(new TraceTask(work, Math.max(1, Math.round(work * error))));
+        }
+        return tasks;
+    }
+
+    private static double work(Random random) {
+        double work = MEDIAN_WORK_MILLIS * Math.exp(WORK_SIGMA * random.nextGaussian());
+        return Math.clamp(work, MIN_WORK_MILLIS, MAX_WORK_MILLIS);
+    }
+
+    private static double meanTasks() {
+        double logMean = (MAX_TASKS - 1) / Math.log(MAX_TASKS);
+        return SINGLE_SHARE + (1 - SINGLE_SHARE) * logMean;
+    }
+
+    private static double meanWork() {
+        Random random = new Random(SAMPLES);
+        double sum = 0;
+        for (int sample = 0; sample < SAMPLES; sample++) {
+            sum += work(random);
+        }
+        return sum / SAMPLES;
+    }
+
+    /** Returns the time of the last arrival, in milliseconds. */
+    public double endMillis() {
+        return jobs.isEmpty() ? 0 : jobs.getLast().arrivalMillis();
+    }
+
+    /** Returns the rate of tasks, a second. */
+    public double tasksPerSecond() {
+        return tasks() / endMillis() * MILLIS_PER_SECOND;
+    }
+}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/Walk.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/Walk.java
@@ -39,6 +39,7 @@
     final Random mRandom;
     final WalkStore mStore = new WalkStore(this);
     final WalkCallers mCallers = new WalkCallers(this);
+    final Set<WalkNode> mIsland = new LinkedHashSet<>();
     double mFaultShare;
     private final List<EntryNode> mEntries = new ArrayList<>();
     private final List<SidecarNode> mSidecars = new ArrayList<>();
@@ -227,8 +228,11 @@
         return node.mAlive && !node.mFrozen;
     }
 
-    private static boolean connected(WalkNode one, WalkNode other) {
-        return one.mLinks.containsKey(other) || other.mLinks.containsKey(one);
+    /** Returns whether no new connection is needed, or none is possible. */
+    private boolean connected(WalkNode one, WalkNode other) {
+        return mIsland.contains(one) != mIsland.contains(other)
+                || one.mLinks.containsKey(other)
+                || other.mLinks.containsKey(one);
     }
 
     private WalkLink link(WalkNode from, WalkNode to) {
@@ -265,6 +269,7 @@
         mHealing = true;
         mFaultShare = 0;
         mStore.mDown = false;
+        mIsland.clear();
         mEntries.forEach(WalkNode::resume);
         mSidecars.forEach(WalkNode::resume);
         mStore.announce();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkFaults.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkFaults.java
@@ -4,7 +4,8 @@
 
 /** The faults of a walk. */
 final class WalkFaults {
-    private static final int KINDS = 7;
+    private static final int KINDS = 8;
+    private static final long MAX_ISLAND_MILLIS = 15_000;
 
     private WalkFaults() {}
 
@@ -16,6 +17,7 @@
             case 2 -> freeze(walk, any(walk, walk.entries()));
             case 3 -> freeze(walk, any(walk, walk.sidecars()));
             case 4 -> storeOutage(walk);
+            case 6 -> island(walk);
             case 5 -> cut(any(walk, walk.entries()), walk);
             default -> leave(walk);
         }
@@ -61,6 +63,23 @@
         }
     }
 
+    /** Cuts an entry off with one or two sidecars; callers still reach it, the store does not. */
+    private static void island(Walk walk) {
+        if (!walk.mIsland.isEmpty()) {
+            return;
+        }
+        walk.mCallers.count("island");
+        walk.mIsland.add(any(walk, walk.entries()));
+        walk.mIsland.add(any(walk, walk.sidecars()));
+        walk.mIsland.add(any(walk, walk.sidecars()));
+        for (WalkNode node : walk.mIsland) {
+            List.copyOf(node.mLinks.entrySet()).stream()
+                    .filter(link -> !walk.mIsland.contains(link.getKey()))
+                    .forEach(link -> link.getValue().cut());
+        }
+        walk.mAgenda.after(walk.mRandom.nextInt((int) MAX_ISLAND_MILLIS), walk.mIsland::clear);
+    }
+
     private static void leave(Walk walk) {
         EntryNode entry = any(walk, walk.entries());
         walk.mCallers.count("entry leaving");
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkStore.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkStore.java
@@ -23,7 +23,7 @@
         mWalk.mAgenda.after(
                 mWalk.delay() + (late ? TIMEOUT_MILLIS + 500 : 0),
                 () -> {
-                    if (mDown) {
+                    if (unreachable(entry)) {
                         fail(entry, write.key(), TIMEOUT_MILLIS);
                         return;
                     }
@@ -47,7 +47,7 @@
         mWalk.mAgenda.after(
                 mWalk.delay(),
                 () -> {
-                    if (mDown) {
+                    if (unreachable(entry)) {
                         fail(entry, key, TIMEOUT_MILLIS);
                     } else {
                         StoreValue value = mState.read(key);
@@ -73,8 +73,12 @@
         }
     }
 
+    private boolean unreachable(EntryNode entry) {
+        return mDown || mWalk.mIsland.contains(entry);
+    }
+
     private void watch(EntryNode entry) {
-        if (!mDown) {
+        if (!unreachable(entry)) {
             List<StoreValue> values = mState.changes(StoreKeys.PREFIX, 0);
             entry.run(() -> entry.handle(new EntryEvent.StoreRead(values)));
         }
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/LinkProxy.java
@@ -0,0 +1,121 @@
+package org.jackdawsaddle.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jackdawsaddle.internal.runtime.Addresses;
+
+/** Stands in a connection between processes, to hold it up in one or both directions or cut it. */
+final class LinkProxy {
+    private static final int BUFFER_BYTES = 65_536;
+    private static final long HOLD_MILLIS = 10;
+
+    private final InetSocketAddress mListen;
+    private final InetSocketAddress mForward;
+    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private volatile boolean mHoldRequests;
+    private volatile boolean mHoldAnswers;
+    private volatile boolean mRefuse;
+    private ServerSocket mServer;
+
+    LinkProxy(String listen, String forward) {
+        mListen = Addresses.parse(listen);
+        mForward = Addresses.parse(forward);
+    }
+
+    void start() {
+        try {
+            mServer = new ServerSocket();
+            mServer.setReuseAddress(true);
+            mServer.bind(mListen);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    void stop() {
+        mRefuse = true;
+        closeAll();
+        close(mServer);
+    }
+
+    /** Delays everything in the given directions until told otherwise. */
+    void hold(boolean requests, boolean answers) {
+        mHoldRequests = requests;
+        mHoldAnswers = answers;
+    }
+
+    /** Ends all connections; new ones are refused until told otherwise. */
+    void cut(boolean refuse) {
+        mRefuse = refuse;
+        closeAll();
+    }
+
+    private void accept() {
+        while (!mServer.isClosed()) {
+            try {
+                Socket from = mServer.accept();
+                if (mRefuse) {
+                    from.close();
+                    continue;
+                }
+                connect(from);
+            } catch (IOException e) {
+                continue;
+            }
+        }
+    }
+
+    private void connect(Socket from) throws IOException {
+        mSockets.add(from);
+        Socket to = new Socket();
+        try {
+            to.connect(mForward);
+        } catch (IOException e) {
+            from.close();
+            return;
+        }
+        mSockets.add(to);
+        Thread.ofVirtual().start(() -> copy(from, to, true));
+        Thread.ofVirtual().start(() -> copy(to, from, false));
+    }
+
+    private void copy(Socket from, Socket to, boolean requests) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try (InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream()) {
+            for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+                while (requests ? mHoldRequests : mHoldAnswers) {
+                    ProcessFleet.pause(HOLD_MILLIS);
+                }
+                out.write(buffer, 0, read);
+                out.flush();
+            }
+        } catch (IOException e) {
+            close(to);
+        }
+        close(from);
+        close(to);
+        mSockets.remove(from);
+        mSockets.remove(to);
+    }
+
+    private void closeAll() {
+        mSockets.forEach(LinkProxy::close);
+    }
+
+    private static void close(AutoCloseable socket) {
+        try {
+            socket.close();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessFleet.java
@@ -0,0 +1,216 @@
+package org.jackdawsaddle.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import org.jackdawsaddle.config.ConfigurationHead;
+import org.jackdawsaddle.config.ConfigurationPublisher;
+import org.jackdawsaddle.config.ConfigurationSet;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.dispatch.EntryStatus;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.store.HttpStoreClient;
+import org.jackdawsaddle.settings.EntrySettings;
+import org.jackdawsaddle.settings.SidecarSettings;
+import org.jackdawsaddle.standin.fleet.FreePorts;
+import org.jackdawsaddle.standin.store.StoreSettings;
+import org.jackdawsaddle.standin.store.StoreStandIn;
+import org.jackdawsaddle.standin.target.TargetSettings;
+import org.jackdawsaddle.standin.target.TargetStandIn;
+
+/** Entries and sidecars as real processes; the store and the targets in the test's process. */
+final class ProcessFleet {
+    static final String TOKEN = "process-fleet";
+    static final int SLOTS = 4;
+    private static final long READY_PATIENCE_MILLIS = 40_000;
+    private static final long POLL_MILLIS = 50;
+    private static final long DRAIN_MILLIS = 20_000;
+
+    final UnixClock mClock = new UnixClock();
+    final HttpCaller mCaller = new HttpCaller(mClock, 2);
+    final StoreStandIn mStore;
+    final HttpStoreClient mStoreClient;
+    final List<ChildProcess> mEntries = new ArrayList<>();
+    final List<ChildProcess> mSidecars = new ArrayList<>();
+    final List<TargetStandIn> mTargets = new ArrayList<>();
+    final List<LinkProxy> mProxies = new ArrayList<>();
+    final List<String> mHttpAddresses;
+
+    ProcessFleet(int entries, int targets, String service) {
+        Path folder = folder();
+        String storeAddress = FreePorts.addresses(1).getFirst();
+        mStore = new StoreStandIn(new StoreSettings(storeAddress), mClock);
+        mStoreClient = new HttpStoreClient(mCaller, storeAddress, mClock);
+        mHttpAddresses = FreePorts.addresses(entries);
+        List<String> peers = FreePorts.addresses(entries);
+        List<String> advertised = FreePorts.addresses(entries);
+        for (int index = 0; index < entries; index++) {
+            mProxies.add(new LinkProxy(advertised.get(index), peers.get(index)));
+            EntrySettings settings =
+                    new EntrySettings(
+                            "entry-" + index,
+                            "here",
+                            mHttpAddresses.get(index),
+                            peers.get(index),
+                            advertised.get(index),
+                            storeAddress,
+                            TOKEN,
+                            1,
+                            "FIRST_COME",
+                            1_000_000,
+                            DRAIN_MILLIS,
+                            "");
+            mEntries.add(new ChildProcess(folder, "entry", settings.name(), settingsOf(settings)));
+        }
+        for (int index = 0; index < targets; index++) {
+            addTarget(folder, "target-" + index, service, advertised);
+        }
+    }
+
+    private void addTarget(Path folder, String name, String service, List<String> entries) {
+        List<String> addresses = FreePorts.addresses(2);
+        mSidecars.add(
+                new ChildProcess(
+                        folder,
+                        "sidecar",
+                        name,
+                        new SidecarSettings(
+                                name, "here", addresses.getFirst(), entries, DRAIN_MILLIS, "")));
+        mTargets.add(
+                new TargetStandIn(
+                        new TargetSettings(
+                                name,
+                                service,
+                                addresses.getLast(),
+                                addresses.getFirst(),
+                                SLOTS,
+                                64,
+                                Demand.NONE,
+                                1.0,
+                                ""),
+                        mClock));
+    }
+
+    /** Returns the settings as a file has them. */
+    private static Object settingsOf(EntrySettings settings) {
+        Map<?, ?> map = StoreJson.read(StoreJson.write(settings), Map.class);
+        return map;
+    }
+
+    void start(ConfigurationSet set) {
+        mCaller.start();
+        mStore.start();
+        mProxies.forEach(LinkProxy::start);
+        mEntries.forEach(ChildProcess::start);
+        mSidecars.forEach(ChildProcess::start);
+        mTargets.forEach(TargetStandIn::start);
+        publish(set);
+        await("all targets usable", () -> usable() == mTargets.size());
+    }
+
+    void stop() {
+        mEntries.forEach(ChildProcess::resume);
+        mSidecars.forEach(ChildProcess::resume);
+        mEntries.forEach(ChildProcess::kill);
+        mSidecars.forEach(ChildProcess::kill);
+        mTargets.forEach(TargetStandIn::stop);
+        mProxies.forEach(LinkProxy::stop);
+        mStore.stop();
+        mCaller.stop();
+    }
+
+    ConfigurationHead publish(ConfigurationSet set) {
+        ConfigurationPublisher publisher = new ConfigurationPublisher(mStoreClient, mClock::now);
+        long base = publisher.read().join().revision();
+        return publisher.publish(base, UUID.randomUUID().toString(), "test", "test", set).join();
+    }
+
+    /** Returns the statuses that the entry gathers, or none if it does not answer. */
+    List<EntryStatus> status(int entry) {
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        mHttpAddresses.get(entry),
+                        "/admin/v1/status",
+                        Map.of("Authorization", "Bearer " + TOKEN),
+                        "",
+                        mClock.now() + 2_000);
+        try {
+            HttpAnswer answer = mCaller.call(call).join();
+            return answer.succeeded()
+                    ? Arrays.asList(StoreJson.read(answer.body(), EntryStatus[].class))
+                    : List.of();
+        } catch (CompletionException e) {
+            return List.of();
+        }
+    }
+
+    /** Returns the index of the entry that owns the partition, as any entry sees it. */
+    Optional<Integer> owner() {
+        for (int entry = 0; entry < mEntries.size(); entry++) {
+            for (EntryStatus status : status(entry)) {
+                boolean owns =
+                        status.partitions().stream().anyMatch(p -> p.phase().equals("ACTIVE"));
+                if (owns) {
+                    return Optional.of(Integer.parseInt(status.entry().substring(6)));
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    long usable() {
+        return status(0).stream()
+                .flatMap(status -> status.targets().stream())
+                .filter(EntryStatus.TargetStatus::usable)
+                .count();
+    }
+
+    Map<String, Integer> starts() {
+        Map<String, Integer> starts = new TreeMap<>();
+        for (TargetStandIn target : mTargets) {
+            target.ledger().starts().forEach((task, n) -> starts.merge(task, n, Integer::sum));
+        }
+        return starts;
+    }
+
+    void await(String what, BooleanSupplier condition) {
+        long deadline = mClock.now() + READY_PATIENCE_MILLIS;
+        while (!condition.getAsBoolean()) {
+            if (mClock.now() > deadline) {
+                throw new AssertionError("Not in time: " + what + "\n" + mEntries.getFirst().log());
+            }
+            pause(POLL_MILLIS);
+        }
+    }
+
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Path folder() {
+        try {
+            return Files.createTempDirectory("jackdawsaddle-test");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessLoad.java
@@ -0,0 +1,114 @@
+package org.jackdawsaddle.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.load.JobCaller;
+import org.jackdawsaddle.standin.load.JobCaller.Answered;
+import org.jackdawsaddle.standin.load.TraceJob;
+import org.jackdawsaddle.standin.load.TraceTask;
+
+/** A steady load on a fleet of processes, and the promises checked at its end. */
+final class ProcessLoad {
+    private static final int RESUBMIT_EVERY = 3;
+    private static final int MAX_TASKS = 6;
+    private static final int MAX_WORK_MILLIS = 250;
+    private static final int MIN_WORK_MILLIS = 50;
+
+    private final ProcessFleet mFleet;
+    private final JobCaller mCaller;
+    private final Random mRandom = new Random(1);
+    private final List<CompletableFuture<Answered>> mOpen = new ArrayList<>();
+    private int mNumber;
+
+    ProcessLoad(ProcessFleet fleet, List<String> addresses) {
+        mFleet = fleet;
+        mCaller = new JobCaller(fleet.mCaller, fleet.mClock, addresses, Deployment.FJORDHORN);
+    }
+
+    /** Submits jobs at a steady pace for the given time. */
+    void run(long millis, long paceMillis) {
+        long end = mFleet.mClock.now() + millis;
+        while (mFleet.mClock.now() < end) {
+            mOpen.add(mCaller.submit(mNumber, job(), mNumber % RESUBMIT_EVERY == 0));
+            mNumber++;
+            ProcessFleet.pause(paceMillis);
+        }
+    }
+
+    /** Waits for all answers and checks the promises; returns how many jobs ended in each way. */
+    Outcomes check() {
+        Outcomes outcomes = new Outcomes();
+        List<Answered> ended = mOpen.stream().map(CompletableFuture::join).toList();
+        Map<String, Integer> starts = mFleet.starts();
+        for (Answered answered : ended) {
+            outcomes.add(answered);
+            if (!answered.whole()) {
+                throw new AssertionError("Not its whole answer, or two: " + answered);
+            }
+            boolean started =
+                    starts.keySet().stream().anyMatch(task -> task.startsWith(answered.id()));
+            if (answered.notRun() && started) {
+                throw new AssertionError("Refused as not run, but started: " + answered);
+            }
+        }
+        starts.forEach((task, count) -> {
+            if (count > 1) {
+                throw new AssertionError("Started " + count + " times: " + task);
+            }
+        });
+        System.out.println("processes: " + outcomes);
+        return outcomes;
+    }
+
+    private TraceJob job() {
+        int tasks = mRandom.nextInt(3) == 0 ? 2 + mRandom.nextInt(MAX_TASKS - 1) : 1;
+        List<TraceTask> list = new ArrayList<>();
+        for (int index = 0; index < tasks; index++) {
+            int work = MIN_WORK_MILLIS + mRandom.nextInt(MAX_WORK_MILLIS - MIN_WORK_MILLIS);
+            list.add(new TraceTask(work, work));
+        }
+        return new TraceJob(0, list);
+    }
+
+    /** How the jobs of a load ended. */
+    static final class Outcomes {
+        int mComplete;
+        int mNotRun;
+        int mFailed;
+        int mLost;
+        double mSlowestMillis;
+
+        void add(Answered answered) {
+            switch (answered.outcome()) {
+                case "complete" -> mComplete++;
+                case "not-run" -> mNotRun++;
+                case "failed" -> mFailed++;
+                default -> mLost++;
+            }
+            mSlowestMillis = Math.max(mSlowestMillis, answered.millis());
+        }
+
+        int total() {
+            return mComplete + mNotRun + mFailed + mLost;
+        }
+
+        @Override
+        public String toString() {
+            return "complete "
+                    + mComplete
+                    + ", not run "
+                    + mNotRun
+                    + ", failed "
+                    + mFailed
+                    + ", lost "
+                    + mLost
+                    + ", slowest "
+                    + Math.round(mSlowestMillis)
+                    + " ms";
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessTestBase.java
@@ -0,0 +1,34 @@
+package org.jackdawsaddle.process;
+
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.fleet.FleetSpec;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** Gives each test a fleet of real processes under load. */
+public abstract class ProcessTestBase {
+    static final int ENTRIES = 3;
+    static final int TARGETS = 4;
+    static final long PACE_MILLIS = 25;
+    static final long TAKEOVER_MILLIS = 10_000;
+
+    ProcessFleet mFleet;
+    ProcessLoad mLoad;
+
+    @BeforeMethod
+    public void startFleet() {
+        mFleet = new ProcessFleet(ENTRIES, TARGETS, Deployment.FJORDHORN.service());
+        mFleet.start(FleetSpec.deployment(Deployment.FJORDHORN, ENTRIES).set());
+        mLoad = new ProcessLoad(mFleet, mFleet.mHttpAddresses);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopFleet() {
+        mFleet.stop();
+    }
+
+    int owner() {
+        mFleet.await("an owner", () -> mFleet.owner().isPresent());
+        return mFleet.owner().orElseThrow();
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
@@ -1,6 +1,7 @@
 package org.jackdawsaddle;
 
 import io.undertow.server.RoutingHandler;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,6 +41,8 @@
 import org.jackdawsaddle.job.SubmissionId;
 import org.jackdawsaddle.settings.EntrySettings;
 import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.trace.TraceHeader;
+import org.jackdawsaddle.trace.TraceWriter;
 
 /**
  * An entry: takes jobs and changes of configuration by HTTP, and dispatches the tasks of the
@@ -65,6 +68,7 @@
     private final EntryLinks mLinks;
     private final StoreWatch mWatch;
     private final HttpServer mHttp;
+    private final Optional<TraceWriter> mTrace;
     private volatile boolean mReady;
 
     /** Creates an entry that is not running. */
@@ -77,11 +81,19 @@
         EntryRecord record =
                 new EntryRecord(
                         self,
-                        settings.peerAddress(),
+                        settings.reachableAddress(),
                         settings.httpAddress(),
                         settings.dataCentre());
         QueueOrder order = QueueOrder.valueOf(settings.queueOrder());
-        mCore = new EntryCore(record, new Layout(settings.partitions()), order, random);
+        Layout layout = new Layout(settings.partitions());
+        mCore = new EntryCore(record, layout, order, random);
+        mTrace =
+                Optional.of(settings.traceFile())
+                        .filter(file -> !file.isEmpty())
+                        .map(file ->
+                                new TraceWriter(
+                                        Path.of(file),
+                                        new TraceHeader.OfEntry(record, layout, order)));
         mLoop =
                 new ControlLoop(
                         "control-" + settings.name(),
@@ -109,6 +121,7 @@
 
     @Override
     public void start() {
+        mTrace.ifPresent(TraceWriter::start);
         mLinks.start();
         mLoop.start();
         mWatch.start();
@@ -125,6 +138,7 @@
         awaitIdle();
         mWatch.stop();
         mLoop.stop();
+        mTrace.ifPresent(TraceWriter::stop);
         mLinks.stop();
         LOG.info("Entry {} has stopped", mSettings.name());
     }
@@ -150,15 +164,15 @@
             onStatusAnswer(answer);
             return;
         }
-        mCore.handle(event, mClock.now());
+        long now = mClock.now();
+        mTrace.ifPresent(trace -> trace.event(now, event));
+        mCore.handle(event, now);
     }
 
     private void perform() {
         List<EntryAction> actions = mCore.actions();
-        while (!actions.isEmpty()) {
-            actions.forEach(this::perform);
-            actions = mCore.actions();
-        }
+        mTrace.ifPresent(trace -> trace.actions(actions));
+        actions.forEach(this::perform);
         mLinks.flush();
         mReady = mCore.ready();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/SidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/SidecarService.java
@@ -2,8 +2,10 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RoutingHandler;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -25,6 +27,8 @@
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.WireThreads;
 import org.jackdawsaddle.settings.SidecarSettings;
+import org.jackdawsaddle.trace.TraceHeader;
+import org.jackdawsaddle.trace.TraceWriter;
 
 /** A sidecar: the only process that starts work on the target beside it. */
 public final class SidecarService implements ManagedService {
@@ -43,6 +47,7 @@
     private final HttpCaller mCaller;
     private final TargetClient mTarget;
     private final HttpServer mHttp;
+    private final Optional<TraceWriter> mTrace;
     private volatile boolean mServing;
 
     /** Creates a sidecar that is not running. */
@@ -51,7 +56,13 @@
         mClock = clock;
         long incarnation = new SecureRandom().nextLong() >>> 1;
         NodeId self = new NodeId(settings.name(), incarnation);
-        mCore = new SidecarCore(self, settings.dataCentre(), clock.now());
+        long startedAt = clock.now();
+        mCore = new SidecarCore(self, settings.dataCentre(), startedAt);
+        TraceHeader header = new TraceHeader.OfSidecar(self, settings.dataCentre(), startedAt);
+        mTrace =
+                Optional.of(settings.traceFile())
+                        .filter(file -> !file.isEmpty())
+                        .map(file -> new TraceWriter(Path.of(file), header));
         mLoop =
                 new ControlLoop(
                         "control-" + settings.name(),
@@ -70,6 +81,7 @@
 
     @Override
     public void start() {
+        mTrace.ifPresent(TraceWriter::start);
         mCaller.start();
         mLoop.start();
         mLinks.start();
@@ -84,6 +96,7 @@
         awaitIdle();
         mHttp.stop();
         mLoop.stop();
+        mTrace.ifPresent(TraceWriter::stop);
         mLinks.stop();
         mCaller.stop();
         LOG.info("Sidecar {} has stopped", mSettings.name());
@@ -128,11 +141,14 @@
     }
 
     private void handle(SidecarEvent event) {
-        mCore.handle(event, mClock.now());
+        long now = mClock.now();
+        mTrace.ifPresent(trace -> trace.event(now, event));
+        mCore.handle(event, now);
     }
 
     private void perform() {
         List<SidecarAction> actions = mCore.actions();
+        mTrace.ifPresent(trace -> trace.actions(actions));
         actions.forEach(this::perform);
         mLinks.flush();
         mServing = mCore.serving();
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationReader.java
@@ -0,0 +1,57 @@
+package org.jackdawsaddle.config;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.internal.http.JsonBody;
+
+/** Reads the objects of any number of JSON files into one set. */
+public final class ConfigurationReader {
+    private final List<ConfigurationSet> mParts = new ArrayList<>();
+    private final List<Finding> mFindings = new ArrayList<>();
+
+    /** Reads one more file; what is wrong with it becomes a finding. */
+    public void read(Path file) {
+        try {
+            mParts.add(JsonBody.read(Files.readString(file), ConfigurationSet.class));
+        } catch (IOException e) {
+            String remedy = "Name a readable file.";
+            mFindings.add(new Finding("file " + file, "", "cannot be read.", remedy));
+        } catch (RequestInvalidException e) {
+            int colon = e.detail().indexOf(": ");
+            mFindings.add(
+                    new Finding(
+                            "file " + file,
+                            e.detail().substring(0, colon),
+                            e.detail().substring(colon + 2) + ".",
+                            "Correct the field; docs/OPERATIONS.md lists all of them."));
+        }
+    }
+
+    /** Returns the objects of all files. */
+    public ConfigurationSet set() {
+        return new ConfigurationSet(
+                all(ConfigurationSet::services),
+                all(ConfigurationSet::targets),
+                all(ConfigurationSet::jobKinds),
+                all(ConfigurationSet::limits),
+                all(ConfigurationSet::teams));
+    }
+
+    /** Returns the findings of all files and of the set as a whole. */
+    public List<Finding> findings() {
+        List<Finding> findings = new ArrayList<>(mFindings);
+        if (findings.isEmpty()) {
+            findings.addAll(ConfigurationChecker.check(set()));
+        }
+        return findings;
+    }
+
+    private <T> List<T> all(Function<ConfigurationSet, List<T>> part) {
+        return mParts.stream().flatMap(set -> part.apply(set).stream()).toList();
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -285,10 +285,8 @@
                             peer,
                             new PeerMessage.JobAnswered(query.token(), mRouting.onQueried(query)));
             case PeerMessage.CancelJob cancel -> mRouting.cancel(cancel.id(), cancel.service());
-            case PeerMessage.Ping ping ->
-                    mBoard.mOutbox.sendToPeer(
-                            peer, new PeerMessage.Pong(ping.sentAt(), mBoard.mHead.revision()));
-            case PeerMessage.Pong pong -> mConfiguration.onPeerRevision(peer, pong.revision());
+            case PeerMessage.Heartbeat heartbeat ->
+                    mConfiguration.onPeerRevision(peer, heartbeat.revision());
             case PeerMessage.ConfigurationPush push -> mConfiguration.apply(push.head());
             case PeerMessage.StatusQuery query ->
                     mBoard.mOutbox.sendToPeer(
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.PeerMessage.Heartbeat;
 import org.jackdawsaddle.internal.message.PeerMessage.PeerHello;
-import org.jackdawsaddle.internal.message.PeerMessage.Ping;
 
 /** Keeps this entry's record in the store and watches which peers are alive. */
 final class MembershipController {
@@ -16,7 +16,7 @@
     private final EntryBoard mBoard;
     private long mRecordVersion;
     private long mRenewAt;
-    private long mPingAt;
+    private long mHeartbeatAt;
     private long mLastTick;
 
     MembershipController(EntryBoard board) {
@@ -29,9 +29,9 @@
             mRenewAt = mBoard.mNow + Timing.MEMBERSHIP_RENEWAL_MILLIS;
             write(Timing.MEMBERSHIP_LEASE_MILLIS);
         }
-        if (mBoard.mNow >= mPingAt) {
-            mPingAt = mBoard.mNow + Timing.PEER_PING_MILLIS;
-            mBoard.mPeers.forEach(this::ping);
+        if (mBoard.mNow >= mHeartbeatAt) {
+            mHeartbeatAt = mBoard.mNow + Timing.PEER_HEARTBEAT_MILLIS;
+            mBoard.mPeers.forEach(this::beat);
         }
     }
 
@@ -143,9 +143,9 @@
                 Optional.of(leaseMillis));
     }
 
-    private void ping(NodeId node, PeerView peer) {
+    private void beat(NodeId node, PeerView peer) {
         if (peer.mConnected) {
-            mBoard.mOutbox.sendToPeer(node, new Ping(mBoard.mNow));
+            mBoard.mOutbox.sendToPeer(node, new Heartbeat(mBoard.mHead.revision()));
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
@@ -22,7 +22,7 @@
  */
 final class OwnershipController {
     private static final long ROUND_PAUSE_MILLIS = 5;
-    private static final long SEAL_REPEAT_MILLIS = 1_000;
+    private static final long SEAL_REPEAT_MILLIS = 200;
 
     private final EntryBoard mBoard;
     private final Map<OwnedPartition, Long> mSealedLast = new HashMap<>();
@@ -77,8 +77,8 @@
     /** Moves the takeover, the lease and the roster on; returns whether it became active now. */
     boolean onTick(OwnedPartition partition) {
         boolean activated = false;
+        repeatSeals(partition);
         if (!partition.active()) {
-            repeatSeals(partition);
             activated = activateIfSealed(partition);
         }
         if (partition.active()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
@@ -32,8 +32,8 @@
     /** How often an entry renews its record in the store. */
     public static final long MEMBERSHIP_RENEWAL_MILLIS = 3_000;
 
-    /** How often an entry pings its peers. */
-    public static final long PEER_PING_MILLIS = 500;
+    /** How often an entry sends a heartbeat to its peers. */
+    public static final long PEER_HEARTBEAT_MILLIS = 500;
 
     /** After how long without a sign of life another entry may take over a peer's partitions. */
     public static final long PEER_SILENCE_MILLIS = 2_000;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Welcomes.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Welcomes.java
@@ -6,23 +6,32 @@
 /** Tells sidecars which entries there are. */
 final class Welcomes {
     private final EntryBoard mBoard;
+    private List<String> mTold = List.of();
 
     Welcomes(EntryBoard board) {
         mBoard = board;
     }
 
-    /** Tells the sidecars that this entry decides for where all entries listen. */
+    /** Tells the sidecars that this entry decides for where all entries listen, if it changed. */
     void welcomeOwnSidecars() {
+        List<String> addresses = addresses();
+        if (addresses.equals(mTold)) {
+            return;
+        }
+        mTold = addresses;
         mBoard.mSidecars.values().stream()
                 .filter(view -> view.mConnected && mBoard.mOwned.containsKey(view.mPartition))
                 .forEach(this::welcome);
     }
 
     void welcome(SidecarView view) {
-        List<String> addresses =
-                mBoard.mEntries.values().stream()
-                        .map(entry -> entry.value().peerAddress())
-                        .toList();
-        mBoard.mOutbox.send(view.node(), new Welcome(mBoard.self(), addresses));
+        mBoard.mOutbox.send(view.node(), new Welcome(mBoard.self(), addresses()));
+    }
+
+    private List<String> addresses() {
+        return mBoard.mEntries.values().stream()
+                .map(entry -> entry.value().peerAddress())
+                .sorted()
+                .toList();
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.config.ConfigurationChecker;
 import org.jackdawsaddle.config.ConfigurationPublisher;
 import org.jackdawsaddle.config.Finding;
@@ -20,18 +22,28 @@
 
 /** The HTTP interface of operators; every call needs the token. */
 final class AdminHandler {
+    private static final Logger LOG = LogManager.getLogger(AdminHandler.class);
     private static final int OK = 200;
     private static final String BEARER = "Bearer ";
 
     /** The reply to a set that cannot be published. */
     record FindingsBody(String code, String message, String remedy, List<Finding> findings) {}
 
+    /** The reply to a sidecar taken out of the rosters. */
+    record ForgetBody(int partitionsChanged) {}
+
     private final EntryControl mControl;
     private final ConfigurationPublisher mPublisher;
+    private final RosterEditor mRosters;
     private final byte[] mToken;
 
-    AdminHandler(EntryControl control, ConfigurationPublisher publisher, String token) {
+    AdminHandler(
+            EntryControl control,
+            ConfigurationPublisher publisher,
+            RosterEditor rosters,
+            String token) {
         mControl = control;
+        mRosters = rosters;
         mPublisher = publisher;
         mToken = token.getBytes(StandardCharsets.UTF_8);
     }
@@ -40,6 +52,7 @@
         routes.get("/admin/v1/status", guarded(this::status));
         routes.get("/admin/v1/configuration", guarded(this::configuration));
         routes.put("/admin/v1/configuration", guarded(this::publish));
+        routes.post("/admin/v1/forget/{target}", guarded(this::forget));
     }
 
     private HttpHandler guarded(HttpHandler handler) {
@@ -116,6 +129,23 @@
                 });
     }
 
+    private void forget(HttpServerExchange exchange) {
+        Replies.later(
+                exchange,
+                () -> {
+                    String target = exchange.getQueryParameters().get("target").peekFirst();
+                    LOG.info("Forgetting the sidecar {} on an operator's word", target);
+                    mRosters.forget(target, mControl.now())
+                            .whenComplete((changed, failure) -> {
+                                if (failure == null) {
+                                    Replies.json(exchange, OK, new ForgetBody(changed));
+                                } else {
+                                    fail(exchange, failure);
+                                }
+                            });
+                });
+    }
+
     private static void require(String value, String field) {
         if (Optional.ofNullable(value).filter(text -> !text.isBlank()).isEmpty()) {
             throw new RequestInvalidException(field + ": missing");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/EntryRoutes.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/EntryRoutes.java
@@ -17,7 +17,7 @@
         RoutingHandler routes = new RoutingHandler();
         ConfigurationPublisher publisher = new ConfigurationPublisher(store, control::now);
         new CallerHandler(control).addTo(routes);
-        new AdminHandler(control, publisher, adminToken).addTo(routes);
+        new AdminHandler(control, publisher, new RosterEditor(store), adminToken).addTo(routes);
         HealthHandler.addTo(routes, control::ready, metrics);
         return routes;
     }
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/RosterEditor.java
@@ -0,0 +1,84 @@
+package org.jackdawsaddle.internal.entry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.errors.ConfigurationConflictException;
+import org.jackdawsaddle.internal.dispatch.Layout;
+import org.jackdawsaddle.internal.dispatch.PartitionRecord;
+import org.jackdawsaddle.internal.dispatch.RosterMember;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.dispatch.StoreKeys;
+import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.store.StoreValue;
+
+/** Takes sidecars that operators know to be gone out of the rosters. */
+final class RosterEditor {
+    private final StoreClient mStore;
+
+    RosterEditor(StoreClient store) {
+        mStore = store;
+    }
+
+    /**
+     * Marks every life of the named sidecar as unused.
+     *
+     * @param now the time in milliseconds since the epoch
+     * @return how many partitions were changed
+     */
+    CompletableFuture<Integer> forget(String name, long now) {
+        return mStore.read(StoreKeys.LAYOUT)
+                .thenCompose(layout -> {
+                    int partitions = StoreJson.read(layout.value(), Layout.class).partitions();
+                    CompletableFuture<Integer> changed = CompletableFuture.completedFuture(0);
+                    for (int index = 0; index < partitions; index++) {
+                        int partition = index;
+                        changed =
+                                changed.thenCompose(sum ->
+                                        forget(name, now, partition).thenApply(one -> sum + one));
+                    }
+                    return changed;
+                });
+    }
+
+    private CompletableFuture<Integer> forget(String name, long now, int partition) {
+        String key = StoreKeys.partition(partition);
+        return mStore.read(key)
+                .thenCompose(value -> {
+                    Optional<PartitionRecord> changed = without(value, name, now);
+                    if (changed.isEmpty()) {
+                        return CompletableFuture.completedFuture(0);
+                    }
+                    return mStore.compareAndSet(
+                                    key,
+                                    value.version(),
+                                    StoreJson.write(changed.get()),
+                                    Optional.empty())
+                            .thenApply(version -> confirmed(version, key));
+                });
+    }
+
+    private static int confirmed(Optional<Long> version, String key) {
+        if (version.isEmpty()) {
+            throw new ConfigurationConflictException(key + " has changed meanwhile.");
+        }
+        return 1;
+    }
+
+    private static Optional<PartitionRecord> without(StoreValue value, String name, long now) {
+        if (value.absent()) {
+            return Optional.empty();
+        }
+        PartitionRecord record = StoreJson.read(value.value(), PartitionRecord.class);
+        List<RosterMember> roster =
+                record.roster().stream().map(member -> forgotten(member, name, now)).toList();
+        return roster.equals(record.roster())
+                ? Optional.empty()
+                : Optional.of(record.withRoster(roster));
+    }
+
+    private static RosterMember forgotten(RosterMember member, String name, long now) {
+        boolean wanted = member.inUse() && member.sidecar().name().equals(name);
+        return wanted ? new RosterMember(member.sidecar(), now) : member;
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PeerMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PeerMessage.java
@@ -58,19 +58,11 @@
     record CancelJob(SubmissionId id, String service) implements PeerMessage {}
 
     /**
-     * Asks for a sign of life.
+     * Shows that the sender is alive.
      *
-     * @param sentAt the sender's clock, in milliseconds
-     */
-    record Ping(long sentAt) implements PeerMessage {}
-
-    /**
-     * Answers a ping.
-     *
-     * @param sentAt the time in the ping
      * @param revision the sender's configuration
      */
-    record Pong(long sentAt, long revision) implements PeerMessage {}
+    record Heartbeat(long revision) implements PeerMessage {}
 
     /**
      * Passes a configuration on.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PeerWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PeerWire.java
@@ -6,11 +6,10 @@
 import org.jackdawsaddle.internal.message.PeerMessage;
 import org.jackdawsaddle.internal.message.PeerMessage.CancelJob;
 import org.jackdawsaddle.internal.message.PeerMessage.ConfigurationPush;
+import org.jackdawsaddle.internal.message.PeerMessage.Heartbeat;
 import org.jackdawsaddle.internal.message.PeerMessage.JobAnswered;
 import org.jackdawsaddle.internal.message.PeerMessage.JobMoved;
 import org.jackdawsaddle.internal.message.PeerMessage.PeerHello;
-import org.jackdawsaddle.internal.message.PeerMessage.Ping;
-import org.jackdawsaddle.internal.message.PeerMessage.Pong;
 import org.jackdawsaddle.internal.message.PeerMessage.QueryJob;
 import org.jackdawsaddle.internal.message.PeerMessage.StatusAnswer;
 import org.jackdawsaddle.internal.message.PeerMessage.StatusQuery;
@@ -57,9 +56,8 @@
                             .setIdHigh(cancel.id().high())
                             .setIdLow(cancel.id().low())
                             .setService(cancel.service());
-            case Ping ping -> envelope.getPingBuilder().setSentAt(ping.sentAt());
-            case Pong pong ->
-                    envelope.getPongBuilder().setSentAt(pong.sentAt()).setRevision(pong.revision());
+            case Heartbeat heartbeat ->
+                    envelope.getHeartbeatBuilder().setRevision(heartbeat.revision());
             case ConfigurationPush push ->
                     envelope.getConfigurationPushBuilder()
                             .setRevision(push.revision())
@@ -97,8 +95,7 @@
                         new SubmissionId(cancel.getIdHigh(), cancel.getIdLow()),
                         cancel.getService());
             }
-            case PING -> new Ping(envelope.getPing().getSentAt());
-            case PONG -> new Pong(envelope.getPong().getSentAt(), envelope.getPong().getRevision());
+            case HEARTBEAT -> new Heartbeat(envelope.getHeartbeat().getRevision());
             case CONFIGURATION_PUSH ->
                     new ConfigurationPush(
                             envelope.getConfigurationPush().getRevision(),
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -316,34 +316,19 @@
     org.jackdawsaddle.internal.wire.proto.Wire.JobMovedOrBuilder getJobMovedOrBuilder();
 
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-     * @return Whether the ping field is set.
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+     * @return Whether the heartbeat field is set.
      */
-    boolean hasPing();
+    boolean hasHeartbeat();
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-     * @return The ping.
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+     * @return The heartbeat.
      */
-    org.jackdawsaddle.internal.wire.proto.Wire.Ping getPing();
+    org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getHeartbeat();
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
      */
-    org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder getPingOrBuilder();
-
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     * @return Whether the pong field is set.
-     */
-    boolean hasPong();
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     * @return The pong.
-     */
-    org.jackdawsaddle.internal.wire.proto.Wire.Pong getPong();
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     */
-    org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder getPongOrBuilder();
+    org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder getHeartbeatOrBuilder();
 
     /**
      * <code>.org.jackdawsaddle.wire.ConfigurationPush configuration_push = 22;</code>
@@ -459,8 +444,7 @@
       QUERY_JOB(17),
       CANCEL_JOB(18),
       JOB_MOVED(19),
-      PING(20),
-      PONG(21),
+      HEARTBEAT(20),
       CONFIGURATION_PUSH(22),
       STATUS_QUERY(23),
       STATUS_ANSWER(24),
@@ -500,8 +484,7 @@
           case 17: return QUERY_JOB;
           case 18: return CANCEL_JOB;
           case 19: return JOB_MOVED;
-          case 20: return PING;
-          case 21: return PONG;
+          case 20: return HEARTBEAT;
           case 22: return CONFIGURATION_PUSH;
           case 23: return STATUS_QUERY;
           case 24: return STATUS_ANSWER;
@@ -1109,66 +1092,35 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.JobMoved.getDefaultInstance();
     }
 
-    public static final int PING_FIELD_NUMBER = 20;
+    public static final int HEARTBEAT_FIELD_NUMBER = 20;
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-     * @return Whether the ping field is set.
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+     * @return Whether the heartbeat field is set.
      */
     @java.lang.Override
-    public boolean hasPing() {
+    public boolean hasHeartbeat() {
       return bodyCase_ == 20;
     }
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-     * @return The ping.
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+     * @return The heartbeat.
      */
     @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.Ping getPing() {
+    public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getHeartbeat() {
       if (bodyCase_ == 20) {
-         return (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_;
+         return (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_;
       }
-      return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+      return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
     }
     /**
-     * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+     * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
      */
     @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder getPingOrBuilder() {
+    public org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder getHeartbeatOrBuilder() {
       if (bodyCase_ == 20) {
-         return (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_;
-      }
-      return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
-    }
-
-    public static final int PONG_FIELD_NUMBER = 21;
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     * @return Whether the pong field is set.
-     */
-    @java.lang.Override
-    public boolean hasPong() {
-      return bodyCase_ == 21;
-    }
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     * @return The pong.
-     */
-    @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.Pong getPong() {
-      if (bodyCase_ == 21) {
-         return (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_;
-      }
-      return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-    }
-    /**
-     * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-     */
-    @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder getPongOrBuilder() {
-      if (bodyCase_ == 21) {
-         return (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_;
+         return (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_;
       }
-      return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
+      return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
     }
 
     public static final int CONFIGURATION_PUSH_FIELD_NUMBER = 22;
@@ -1336,10 +1288,7 @@
         output.writeMessage(19, (org.jackdawsaddle.internal.wire.proto.Wire.JobMoved) body_);
       }
       if (bodyCase_ == 20) {
-        output.writeMessage(20, (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_);
-      }
-      if (bodyCase_ == 21) {
-        output.writeMessage(21, (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_);
+        output.writeMessage(20, (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_);
       }
       if (bodyCase_ == 22) {
         output.writeMessage(22, (org.jackdawsaddle.internal.wire.proto.Wire.ConfigurationPush) body_);
@@ -1432,11 +1381,7 @@
       }
       if (bodyCase_ == 20) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(20, (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_);
-      }
-      if (bodyCase_ == 21) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(21, (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_);
+          .computeMessageSize(20, (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_);
       }
       if (bodyCase_ == 22) {
         size += com.google.protobuf.CodedOutputStream
@@ -1553,12 +1498,8 @@
               .equals(other.getJobMoved())) return false;
           break;
         case 20:
-          if (!getPing()
-              .equals(other.getPing())) return false;
-          break;
-        case 21:
-          if (!getPong()
-              .equals(other.getPong())) return false;
+          if (!getHeartbeat()
+              .equals(other.getHeartbeat())) return false;
           break;
         case 22:
           if (!getConfigurationPush()
@@ -1664,12 +1605,8 @@
           hash = (53 * hash) + getJobMoved().hashCode();
           break;
         case 20:
-          hash = (37 * hash) + PING_FIELD_NUMBER;
-          hash = (53 * hash) + getPing().hashCode();
-          break;
-        case 21:
-          hash = (37 * hash) + PONG_FIELD_NUMBER;
-          hash = (53 * hash) + getPong().hashCode();
+          hash = (37 * hash) + HEARTBEAT_FIELD_NUMBER;
+          hash = (53 * hash) + getHeartbeat().hashCode();
           break;
         case 22:
           hash = (37 * hash) + CONFIGURATION_PUSH_FIELD_NUMBER;
@@ -1874,11 +1811,8 @@
         if (jobMovedBuilder_ != null) {
           jobMovedBuilder_.clear();
         }
-        if (pingBuilder_ != null) {
-          pingBuilder_.clear();
-        }
-        if (pongBuilder_ != null) {
-          pongBuilder_.clear();
+        if (heartbeatBuilder_ != null) {
+          heartbeatBuilder_.clear();
         }
         if (configurationPushBuilder_ != null) {
           configurationPushBuilder_.clear();
@@ -2007,12 +1941,8 @@
           result.body_ = jobMovedBuilder_.build();
         }
         if (bodyCase_ == 20 &&
-            pingBuilder_ != null) {
-          result.body_ = pingBuilder_.build();
-        }
-        if (bodyCase_ == 21 &&
-            pongBuilder_ != null) {
-          result.body_ = pongBuilder_.build();
+            heartbeatBuilder_ != null) {
+          result.body_ = heartbeatBuilder_.build();
         }
         if (bodyCase_ == 22 &&
             configurationPushBuilder_ != null) {
@@ -2117,12 +2047,8 @@
             mergeJobMoved(other.getJobMoved());
             break;
           }
-          case PING: {
-            mergePing(other.getPing());
-            break;
-          }
-          case PONG: {
-            mergePong(other.getPong());
+          case HEARTBEAT: {
+            mergeHeartbeat(other.getHeartbeat());
             break;
           }
           case CONFIGURATION_PUSH: {
@@ -2300,18 +2226,11 @@
               } // case 154
               case 162: {
                 input.readMessage(
-                    internalGetPingFieldBuilder().getBuilder(),
+                    internalGetHeartbeatFieldBuilder().getBuilder(),
                     extensionRegistry);
                 bodyCase_ = 20;
                 break;
               } // case 162
-              case 170: {
-                input.readMessage(
-                    internalGetPongFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 21;
-                break;
-              } // case 170
               case 178: {
                 input.readMessage(
                     internalGetConfigurationPushFieldBuilder().getBuilder(),
@@ -5026,69 +4945,69 @@
       }
 
       private com.google.protobuf.SingleFieldBuilder<
-          org.jackdawsaddle.internal.wire.proto.Wire.Ping, org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder> pingBuilder_;
+          org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat, org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder, org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder> heartbeatBuilder_;
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-       * @return Whether the ping field is set.
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+       * @return Whether the heartbeat field is set.
        */
       @java.lang.Override
-      public boolean hasPing() {
+      public boolean hasHeartbeat() {
         return bodyCase_ == 20;
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
-       * @return The ping.
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
+       * @return The heartbeat.
        */
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Ping getPing() {
-        if (pingBuilder_ == null) {
+      public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getHeartbeat() {
+        if (heartbeatBuilder_ == null) {
           if (bodyCase_ == 20) {
-            return (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_;
+            return (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_;
           }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+          return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
         } else {
           if (bodyCase_ == 20) {
-            return pingBuilder_.getMessage();
+            return heartbeatBuilder_.getMessage();
           }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+          return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
         }
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
-      public Builder setPing(org.jackdawsaddle.internal.wire.proto.Wire.Ping value) {
-        if (pingBuilder_ == null) {
+      public Builder setHeartbeat(org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat value) {
+        if (heartbeatBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
           body_ = value;
           onChanged();
         } else {
-          pingBuilder_.setMessage(value);
+          heartbeatBuilder_.setMessage(value);
         }
         bodyCase_ = 20;
         return this;
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
-      public Builder setPing(
-          org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder builderForValue) {
-        if (pingBuilder_ == null) {
+      public Builder setHeartbeat(
+          org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder builderForValue) {
+        if (heartbeatBuilder_ == null) {
           body_ = builderForValue.build();
           onChanged();
         } else {
-          pingBuilder_.setMessage(builderForValue.build());
+          heartbeatBuilder_.setMessage(builderForValue.build());
         }
         bodyCase_ = 20;
         return this;
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
-      public Builder mergePing(org.jackdawsaddle.internal.wire.proto.Wire.Ping value) {
-        if (pingBuilder_ == null) {
+      public Builder mergeHeartbeat(org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat value) {
+        if (heartbeatBuilder_ == null) {
           if (bodyCase_ == 20 &&
-              body_ != org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance()) {
-            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Ping.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_)
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_)
                 .mergeFrom(value).buildPartial();
           } else {
             body_ = value;
@@ -5096,19 +5015,19 @@
           onChanged();
         } else {
           if (bodyCase_ == 20) {
-            pingBuilder_.mergeFrom(value);
+            heartbeatBuilder_.mergeFrom(value);
           } else {
-            pingBuilder_.setMessage(value);
+            heartbeatBuilder_.setMessage(value);
           }
         }
         bodyCase_ = 20;
         return this;
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
-      public Builder clearPing() {
-        if (pingBuilder_ == null) {
+      public Builder clearHeartbeat() {
+        if (heartbeatBuilder_ == null) {
           if (bodyCase_ == 20) {
             bodyCase_ = 0;
             body_ = null;
@@ -5119,190 +5038,50 @@
             bodyCase_ = 0;
             body_ = null;
           }
-          pingBuilder_.clear();
+          heartbeatBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
-      public org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder getPingBuilder() {
-        return internalGetPingFieldBuilder().getBuilder();
+      public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder getHeartbeatBuilder() {
+        return internalGetHeartbeatFieldBuilder().getBuilder();
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder getPingOrBuilder() {
-        if ((bodyCase_ == 20) && (pingBuilder_ != null)) {
-          return pingBuilder_.getMessageOrBuilder();
+      public org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder getHeartbeatOrBuilder() {
+        if ((bodyCase_ == 20) && (heartbeatBuilder_ != null)) {
+          return heartbeatBuilder_.getMessageOrBuilder();
         } else {
           if (bodyCase_ == 20) {
-            return (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_;
+            return (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_;
           }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+          return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
         }
       }
       /**
-       * <code>.org.jackdawsaddle.wire.Ping ping = 20;</code>
+       * <code>.org.jackdawsaddle.wire.Heartbeat heartbeat = 20;</code>
        */
       private com.google.protobuf.SingleFieldBuilder<
-          org.jackdawsaddle.internal.wire.proto.Wire.Ping, org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder> 
-          internalGetPingFieldBuilder() {
-        if (pingBuilder_ == null) {
+          org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat, org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder, org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder> 
+          internalGetHeartbeatFieldBuilder() {
+        if (heartbeatBuilder_ == null) {
           if (!(bodyCase_ == 20)) {
-            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
           }
-          pingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.jackdawsaddle.internal.wire.proto.Wire.Ping, org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder>(
-                  (org.jackdawsaddle.internal.wire.proto.Wire.Ping) body_,
+          heartbeatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat, org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder, org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) body_,
                   getParentForChildren(),
                   isClean());
           body_ = null;
         }
         bodyCase_ = 20;
         onChanged();
-        return pingBuilder_;
-      }
-
-      private com.google.protobuf.SingleFieldBuilder<
-          org.jackdawsaddle.internal.wire.proto.Wire.Pong, org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder> pongBuilder_;
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       * @return Whether the pong field is set.
-       */
-      @java.lang.Override
-      public boolean hasPong() {
-        return bodyCase_ == 21;
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       * @return The pong.
-       */
-      @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Pong getPong() {
-        if (pongBuilder_ == null) {
-          if (bodyCase_ == 21) {
-            return (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_;
-          }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-        } else {
-          if (bodyCase_ == 21) {
-            return pongBuilder_.getMessage();
-          }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-        }
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      public Builder setPong(org.jackdawsaddle.internal.wire.proto.Wire.Pong value) {
-        if (pongBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          body_ = value;
-          onChanged();
-        } else {
-          pongBuilder_.setMessage(value);
-        }
-        bodyCase_ = 21;
-        return this;
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      public Builder setPong(
-          org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder builderForValue) {
-        if (pongBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
-        } else {
-          pongBuilder_.setMessage(builderForValue.build());
-        }
-        bodyCase_ = 21;
-        return this;
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      public Builder mergePong(org.jackdawsaddle.internal.wire.proto.Wire.Pong value) {
-        if (pongBuilder_ == null) {
-          if (bodyCase_ == 21 &&
-              body_ != org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance()) {
-            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Pong.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
-          onChanged();
-        } else {
-          if (bodyCase_ == 21) {
-            pongBuilder_.mergeFrom(value);
-          } else {
-            pongBuilder_.setMessage(value);
-          }
-        }
-        bodyCase_ = 21;
-        return this;
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      public Builder clearPong() {
-        if (pongBuilder_ == null) {
-          if (bodyCase_ == 21) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 21) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          pongBuilder_.clear();
-        }
-        return this;
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      public org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder getPongBuilder() {
-        return internalGetPongFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder getPongOrBuilder() {
-        if ((bodyCase_ == 21) && (pongBuilder_ != null)) {
-          return pongBuilder_.getMessageOrBuilder();
-        } else {
-          if (bodyCase_ == 21) {
-            return (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_;
-          }
-          return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-        }
-      }
-      /**
-       * <code>.org.jackdawsaddle.wire.Pong pong = 21;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.jackdawsaddle.internal.wire.proto.Wire.Pong, org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder> 
-          internalGetPongFieldBuilder() {
-        if (pongBuilder_ == null) {
-          if (!(bodyCase_ == 21)) {
-            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-          }
-          pongBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.jackdawsaddle.internal.wire.proto.Wire.Pong, org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder>(
-                  (org.jackdawsaddle.internal.wire.proto.Wire.Pong) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
-        }
-        bodyCase_ = 21;
-        onChanged();
-        return pongBuilder_;
+        return heartbeatBuilder_;
       }
 
       private com.google.protobuf.SingleFieldBuilder<
@@ -26947,23 +26726,23 @@
 
   }
 
-  public interface PingOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.Ping)
+  public interface HeartbeatOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.Heartbeat)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 sent_at = 1;</code>
-     * @return The sentAt.
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
      */
-    long getSentAt();
+    long getRevision();
   }
   /**
-   * Protobuf type {@code org.jackdawsaddle.wire.Ping}
+   * Protobuf type {@code org.jackdawsaddle.wire.Heartbeat}
    */
-  public static final class Ping extends
+  public static final class Heartbeat extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.Ping)
-      PingOrBuilder {
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.Heartbeat)
+      HeartbeatOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -26972,42 +26751,42 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "Ping");
+        "Heartbeat");
     }
-    // Use Ping.newBuilder() to construct.
-    private Ping(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use Heartbeat.newBuilder() to construct.
+    private Heartbeat(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Ping() {
+    private Heartbeat() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_fieldAccessorTable
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.Ping.class, org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder.class);
+              org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.class, org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder.class);
     }
 
-    public static final int SENT_AT_FIELD_NUMBER = 1;
-    private long sentAt_ = 0L;
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
     /**
-     * <code>uint64 sent_at = 1;</code>
-     * @return The sentAt.
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
      */
     @java.lang.Override
-    public long getSentAt() {
-      return sentAt_;
+    public long getRevision() {
+      return revision_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -27024,16 +26803,16 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (sentAt_ != 0L) {
-        output.writeUInt64(1, sentAt_);
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (sentAt_ != 0L) {
+      if (revision_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, sentAt_);
+          .computeUInt64Size(1, revision_);
       }
       return size;
     }
@@ -27054,13 +26833,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.Ping)) {
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat)) {
         return super.equals(obj);
       }
-      org.jackdawsaddle.internal.wire.proto.Wire.Ping other = (org.jackdawsaddle.internal.wire.proto.Wire.Ping) obj;
+      org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat other = (org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) obj;
 
-      if (getSentAt()
-          != other.getSentAt()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -27072,52 +26851,52 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSentAt());
+          getRevision());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(byte[] data)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -27125,26 +26904,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseDelimitedFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseDelimitedFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -27157,7 +26936,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.Ping prototype) {
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -27173,26 +26952,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code org.jackdawsaddle.wire.Ping}
+     * Protobuf type {@code org.jackdawsaddle.wire.Heartbeat}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.Ping)
-        org.jackdawsaddle.internal.wire.proto.Wire.PingOrBuilder {
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.Heartbeat)
+        org.jackdawsaddle.internal.wire.proto.Wire.HeartbeatOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_fieldAccessorTable
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.jackdawsaddle.internal.wire.proto.Wire.Ping.class, org.jackdawsaddle.internal.wire.proto.Wire.Ping.Builder.class);
+                org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.class, org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.Builder.class);
       }
 
-      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.Ping.newBuilder()
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.newBuilder()
       private Builder() {
 
       }
@@ -27206,24 +26985,24 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        sentAt_ = 0L;
+        revision_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Ping_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor;
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Ping getDefaultInstanceForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance();
+      public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Ping build() {
-        org.jackdawsaddle.internal.wire.proto.Wire.Ping result = buildPartial();
+      public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -27231,34 +27010,34 @@
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Ping buildPartial() {
-        org.jackdawsaddle.internal.wire.proto.Wire.Ping result = new org.jackdawsaddle.internal.wire.proto.Wire.Ping(this);
+      public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat result = new org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.Ping result) {
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.sentAt_ = sentAt_;
+          result.revision_ = revision_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.Ping) {
-          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.Ping)other);
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.Ping other) {
-        if (other == org.jackdawsaddle.internal.wire.proto.Wire.Ping.getDefaultInstance()) return this;
-        if (other.getSentAt() != 0L) {
-          setSentAt(other.getSentAt());
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -27285,7 +27064,7 @@
                 done = true;
                 break;
               case 8: {
-                sentAt_ = input.readUInt64();
+                revision_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
@@ -27306,55 +27085,55 @@
       }
       private int bitField0_;
 
-      private long sentAt_ ;
+      private long revision_ ;
       /**
-       * <code>uint64 sent_at = 1;</code>
-       * @return The sentAt.
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
        */
       @java.lang.Override
-      public long getSentAt() {
-        return sentAt_;
+      public long getRevision() {
+        return revision_;
       }
       /**
-       * <code>uint64 sent_at = 1;</code>
-       * @param value The sentAt to set.
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
        * @return This builder for chaining.
        */
-      public Builder setSentAt(long value) {
+      public Builder setRevision(long value) {
 
-        sentAt_ = value;
+        revision_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 sent_at = 1;</code>
+       * <code>uint64 revision = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSentAt() {
+      public Builder clearRevision() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        sentAt_ = 0L;
+        revision_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Ping)
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Heartbeat)
     }
 
-    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.Ping)
-    private static final org.jackdawsaddle.internal.wire.proto.Wire.Ping DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.Heartbeat)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.Ping();
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat();
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Ping getDefaultInstance() {
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Ping>
-        PARSER = new com.google.protobuf.AbstractParser<Ping>() {
+    private static final com.google.protobuf.Parser<Heartbeat>
+        PARSER = new com.google.protobuf.AbstractParser<Heartbeat>() {
       @java.lang.Override
-      public Ping parsePartialFrom(
+      public Heartbeat parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -27373,45 +27152,51 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Ping> parser() {
+    public static com.google.protobuf.Parser<Heartbeat> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Ping> getParserForType() {
+    public com.google.protobuf.Parser<Heartbeat> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.Ping getDefaultInstanceForType() {
+    public org.jackdawsaddle.internal.wire.proto.Wire.Heartbeat getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface PongOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.Pong)
+  public interface ConfigurationPushOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.ConfigurationPush)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 sent_at = 1;</code>
-     * @return The sentAt.
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
      */
-    long getSentAt();
+    long getRevision();
 
     /**
-     * <code>uint64 revision = 2;</code>
-     * @return The revision.
+     * <code>string head = 2;</code>
+     * @return The head.
      */
-    long getRevision();
+    java.lang.String getHead();
+    /**
+     * <code>string head = 2;</code>
+     * @return The bytes for head.
+     */
+    com.google.protobuf.ByteString
+        getHeadBytes();
   }
   /**
-   * Protobuf type {@code org.jackdawsaddle.wire.Pong}
+   * Protobuf type {@code org.jackdawsaddle.wire.ConfigurationPush}
    */
-  public static final class Pong extends
+  public static final class ConfigurationPush extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.Pong)
-      PongOrBuilder {
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.ConfigurationPush)
+      ConfigurationPushOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -27420,603 +27205,82 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "Pong");
+        "ConfigurationPush");
     }
-    // Use Pong.newBuilder() to construct.
-    private Pong(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ConfigurationPush.newBuilder() to construct.
+    private ConfigurationPush(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Pong() {
+    private ConfigurationPush() {
+      head_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_fieldAccessorTable
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.Pong.class, org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder.class);
+              org.jackdawsaddle.internal.wire.proto.Wire.ConfigurationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.ConfigurationPush.Builder.class);
     }
 
-    public static final int SENT_AT_FIELD_NUMBER = 1;
-    private long sentAt_ = 0L;
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
     /**
-     * <code>uint64 sent_at = 1;</code>
-     * @return The sentAt.
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
      */
     @java.lang.Override
-    public long getSentAt() {
-      return sentAt_;
+    public long getRevision() {
+      return revision_;
     }
 
-    public static final int REVISION_FIELD_NUMBER = 2;
-    private long revision_ = 0L;
+    public static final int HEAD_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object head_ = "";
     /**
-     * <code>uint64 revision = 2;</code>
-     * @return The revision.
+     * <code>string head = 2;</code>
+     * @return The head.
      */
     @java.lang.Override
-    public long getRevision() {
-      return revision_;
-    }
-
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
-
-      memoizedIsInitialized = 1;
-      return true;
-    }
-
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (sentAt_ != 0L) {
-        output.writeUInt64(1, sentAt_);
-      }
-      if (revision_ != 0L) {
-        output.writeUInt64(2, revision_);
-      }
-      getUnknownFields().writeTo(output);
-    }
-    private int computeSerializedSize_0() {
-      int size = 0;
-      if (sentAt_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, sentAt_);
-      }
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, revision_);
-      }
-      return size;
-    }
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
-
-      size = 0;
-      size += computeSerializedSize_0();
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
-
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
-      }
-      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.Pong)) {
-        return super.equals(obj);
-      }
-      org.jackdawsaddle.internal.wire.proto.Wire.Pong other = (org.jackdawsaddle.internal.wire.proto.Wire.Pong) obj;
-
-      if (getSentAt()
-          != other.getSentAt()) return false;
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
-
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
-      }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSentAt());
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
-
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.Pong prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
-
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * Protobuf type {@code org.jackdawsaddle.wire.Pong}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.Pong)
-        org.jackdawsaddle.internal.wire.proto.Wire.PongOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_descriptor;
-      }
-
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.jackdawsaddle.internal.wire.proto.Wire.Pong.class, org.jackdawsaddle.internal.wire.proto.Wire.Pong.Builder.class);
-      }
-
-      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.Pong.newBuilder()
-      private Builder() {
-
-      }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
-      }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        sentAt_ = 0L;
-        revision_ = 0L;
-        return this;
-      }
-
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Pong_descriptor;
-      }
-
-      @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Pong getDefaultInstanceForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance();
-      }
-
-      @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Pong build() {
-        org.jackdawsaddle.internal.wire.proto.Wire.Pong result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
-      }
-
-      @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.Pong buildPartial() {
-        org.jackdawsaddle.internal.wire.proto.Wire.Pong result = new org.jackdawsaddle.internal.wire.proto.Wire.Pong(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
-      }
-
-      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.Pong result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.sentAt_ = sentAt_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.revision_ = revision_;
-        }
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.Pong) {
-          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.Pong)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
-      }
-
-      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.Pong other) {
-        if (other == org.jackdawsaddle.internal.wire.proto.Wire.Pong.getDefaultInstance()) return this;
-        if (other.getSentAt() != 0L) {
-          setSentAt(other.getSentAt());
-        }
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
-      }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 8: {
-                sentAt_ = input.readUInt64();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 16: {
-                revision_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private long sentAt_ ;
-      /**
-       * <code>uint64 sent_at = 1;</code>
-       * @return The sentAt.
-       */
-      @java.lang.Override
-      public long getSentAt() {
-        return sentAt_;
-      }
-      /**
-       * <code>uint64 sent_at = 1;</code>
-       * @param value The sentAt to set.
-       * @return This builder for chaining.
-       */
-      public Builder setSentAt(long value) {
-
-        sentAt_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 sent_at = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearSentAt() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        sentAt_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private long revision_ ;
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return The revision.
-       */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @param value The revision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRevision() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        revision_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Pong)
-    }
-
-    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.Pong)
-    private static final org.jackdawsaddle.internal.wire.proto.Wire.Pong DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.Pong();
-    }
-
-    public static org.jackdawsaddle.internal.wire.proto.Wire.Pong getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<Pong>
-        PARSER = new com.google.protobuf.AbstractParser<Pong>() {
-      @java.lang.Override
-      public Pong parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
-      }
-    };
-
-    public static com.google.protobuf.Parser<Pong> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<Pong> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.jackdawsaddle.internal.wire.proto.Wire.Pong getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface ConfigurationPushOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.ConfigurationPush)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    long getRevision();
-
-    /**
-     * <code>string head = 2;</code>
-     * @return The head.
-     */
-    java.lang.String getHead();
-    /**
-     * <code>string head = 2;</code>
-     * @return The bytes for head.
-     */
-    com.google.protobuf.ByteString
-        getHeadBytes();
-  }
-  /**
-   * Protobuf type {@code org.jackdawsaddle.wire.ConfigurationPush}
-   */
-  public static final class ConfigurationPush extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.ConfigurationPush)
-      ConfigurationPushOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 36,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "ConfigurationPush");
-    }
-    // Use ConfigurationPush.newBuilder() to construct.
-    private ConfigurationPush(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private ConfigurationPush() {
-      head_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_ConfigurationPush_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.ConfigurationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.ConfigurationPush.Builder.class);
-    }
-
-    public static final int REVISION_FIELD_NUMBER = 1;
-    private long revision_ = 0L;
-    /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    @java.lang.Override
-    public long getRevision() {
-      return revision_;
-    }
-
-    public static final int HEAD_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object head_ = "";
-    /**
-     * <code>string head = 2;</code>
-     * @return The head.
-     */
-    @java.lang.Override
-    public java.lang.String getHead() {
-      java.lang.Object ref = head_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        head_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string head = 2;</code>
-     * @return The bytes for head.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getHeadBytes() {
-      java.lang.Object ref = head_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        head_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public java.lang.String getHead() {
+      java.lang.Object ref = head_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        head_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string head = 2;</code>
+     * @return The bytes for head.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getHeadBytes() {
+      java.lang.Object ref = head_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        head_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
     private byte memoizedIsInitialized = -1;
@@ -29672,15 +28936,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_JobMoved_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_org_jackdawsaddle_wire_Ping_descriptor;
+    internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_org_jackdawsaddle_wire_Ping_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_org_jackdawsaddle_wire_Pong_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_org_jackdawsaddle_wire_Pong_fieldAccessorTable;
+      internal_static_org_jackdawsaddle_wire_Heartbeat_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor;
   private static final 
@@ -29705,7 +28964,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\230\013\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\364\n\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -29734,83 +28993,82 @@
       "saddle.wire.QueryJobH\000\0227\n\ncancel_job\030\022 \001" +
       "(\0132!.org.jackdawsaddle.wire.CancelJobH\000\022" +
       "5\n\tjob_moved\030\023 \001(\0132 .org.jackdawsaddle.w" +
-      "ire.JobMovedH\000\022,\n\004ping\030\024 \001(\0132\034.org.jackd" +
-      "awsaddle.wire.PingH\000\022,\n\004pong\030\025 \001(\0132\034.org" +
-      ".jackdawsaddle.wire.PongH\000\022G\n\022configurat" +
-      "ion_push\030\026 \001(\0132).org.jackdawsaddle.wire." +
-      "ConfigurationPushH\000\022;\n\014status_query\030\027 \001(" +
-      "\0132#.org.jackdawsaddle.wire.StatusQueryH\000" +
-      "\022=\n\rstatus_answer\030\030 \001(\0132$.org.jackdawsad" +
-      "dle.wire.StatusAnswerH\000B\006\n\004body\"+\n\006NodeI" +
-      "d\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"0\n\r" +
-      "SubmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low" +
-      "\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id" +
-      "_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022\r\n\005c" +
-      "ores\030\001 \001(\001\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014" +
-      "accelerators\030\003 \001(\r\"\202\002\n\014SidecarHello\022/\n\007s" +
-      "idecar\030\001 \001(\0132\036.org.jackdawsaddle.wire.No" +
-      "deId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n" +
-      "\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013con" +
-      "nections\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.org.j" +
-      "ackdawsaddle.wire.Demand\022\017\n\007serving\030\010 \001(" +
-      "\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revision\030\n \001(\004\"" +
-      "Q\n\007Welcome\022-\n\005entry\030\001 \001(\0132\036.org.jackdaws" +
-      "addle.wire.NodeId\022\027\n\017entry_addresses\030\002 \003" +
-      "(\t\"\243\001\n\tStartTask\022-\n\004task\030\001 \001(\0132\037.org.jac" +
-      "kdawsaddle.wire.TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n" +
-      "\007payload\030\003 \001(\014\022\030\n\020remaining_millis\030\004 \001(\004" +
-      "\022.\n\006demand\030\005 \001(\0132\036.org.jackdawsaddle.wir" +
-      "e.Demand\"v\n\nStartTasks\022\021\n\tpartition\030\001 \001(" +
-      "\r\022\r\n\005epoch\030\002 \001(\004\022\024\n\014echoed_stamp\030\003 \001(\004\0220" +
-      "\n\005tasks\030\004 \003(\0132!.org.jackdawsaddle.wire.S" +
-      "tartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(\0132\037.o" +
-      "rg.jackdawsaddle.wire.TaskKey\022\r\n\005state\030\002" +
-      " \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022\n\nr" +
-      "un_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpartit" +
-      "ion\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.jackdaw" +
-      "saddle.wire.TaskResult\"]\n\tStopTasks\022\021\n\tp" +
-      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tasks\030\003" +
-      " \003(\0132\037.org.jackdawsaddle.wire.TaskKey\"(\n" +
-      "\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"" +
-      "S\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\r\n\005stamp\030\004" +
-      " \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
-      "\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"P\n\014LeaseRe" +
-      "newed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022" +
-      "\017\n\007sent_at\030\003 \001(\004\022\r\n\005stamp\030\004 \001(\004\"w\n\007Inqui" +
-      "ry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006" +
-      "number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%.org." +
-      "jackdawsaddle.wire.SubmissionKey\"e\n\rInqu" +
-      "iryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006number\030\002" +
-      " \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsaddle." +
-      "wire.TaskResult\"G\n\023TargetConfiguration\022\020" +
-      "\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slo" +
-      "ts\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010revi" +
-      "sion\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001(\0132\036" +
-      ".org.jackdawsaddle.wire.NodeId\022\020\n\010revisi" +
-      "on\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001 \001(\014" +
-      "\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobRequest" +
-      "\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004tea" +
-      "m\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_milli" +
-      "s\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdawsadd" +
-      "le.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005toke" +
-      "n\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackdawsa" +
-      "ddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n\007out" +
-      "come\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t" +
-      "\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r" +
-      "\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005token\030\001 " +
-      "\001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsaddle." +
-      "wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030\001 \001(" +
-      "\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007se" +
-      "rvice\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030\001 \001(" +
-      "\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010Jo" +
-      "bMoved\022\r\n\005token\030\001 \001(\004\"\027\n\004Ping\022\017\n\007sent_at" +
-      "\030\001 \001(\004\")\n\004Pong\022\017\n\007sent_at\030\001 \001(\004\022\020\n\010revis" +
-      "ion\030\002 \001(\004\"3\n\021ConfigurationPush\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n" +
-      "\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 " +
-      "\001(\004\022\016\n\006status\030\002 \001(\tB-\n%org.jackdawsaddle" +
-      ".internal.wire.protoB\004Wireb\006proto3"
+      "ire.JobMovedH\000\0226\n\theartbeat\030\024 \001(\0132!.org." +
+      "jackdawsaddle.wire.HeartbeatH\000\022G\n\022config" +
+      "uration_push\030\026 \001(\0132).org.jackdawsaddle.w" +
+      "ire.ConfigurationPushH\000\022;\n\014status_query\030" +
+      "\027 \001(\0132#.org.jackdawsaddle.wire.StatusQue" +
+      "ryH\000\022=\n\rstatus_answer\030\030 \001(\0132$.org.jackda" +
+      "wsaddle.wire.StatusAnswerH\000B\006\n\004body\"+\n\006N" +
+      "odeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006" +
+      "\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id" +
+      "_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016" +
+      "\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022" +
+      "\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes\030\002 \001(\004" +
+      "\022\024\n\014accelerators\030\003 \001(\r\"\202\002\n\014SidecarHello\022" +
+      "/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wir" +
+      "e.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001(" +
+      "\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n" +
+      "\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.o" +
+      "rg.jackdawsaddle.wire.Demand\022\017\n\007serving\030" +
+      "\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revision\030\n " +
+      "\001(\004\"Q\n\007Welcome\022-\n\005entry\030\001 \001(\0132\036.org.jack" +
+      "dawsaddle.wire.NodeId\022\027\n\017entry_addresses" +
+      "\030\002 \003(\t\"\243\001\n\tStartTask\022-\n\004task\030\001 \001(\0132\037.org" +
+      ".jackdawsaddle.wire.TaskKey\022\014\n\004kind\030\002 \001(" +
+      "\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaining_millis\030\004" +
+      " \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.jackdawsaddle" +
+      ".wire.Demand\"v\n\nStartTasks\022\021\n\tpartition\030" +
+      "\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\024\n\014echoed_stamp\030\003 \001" +
+      "(\004\0220\n\005tasks\030\004 \003(\0132!.org.jackdawsaddle.wi" +
+      "re.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(\013" +
+      "2\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005sta" +
+      "te\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022" +
+      "\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpa" +
+      "rtition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.jac" +
+      "kdawsaddle.wire.TaskResult\"]\n\tStopTasks\022" +
+      "\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tas" +
+      "ks\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskKe" +
+      "y\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
+      "\001(\004\"S\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoc" +
+      "h\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\r\n\005sta" +
+      "mp\030\004 \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001 \001(" +
+      "\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"P\n\014Lea" +
+      "seRenewed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
+      "\001(\004\022\017\n\007sent_at\030\003 \001(\004\022\r\n\005stamp\030\004 \001(\004\"w\n\007I" +
+      "nquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%." +
+      "org.jackdawsaddle.wire.SubmissionKey\"e\n\r" +
+      "InquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006numb" +
+      "er\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsad" +
+      "dle.wire.TaskResult\"G\n\023TargetConfigurati" +
+      "on\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n" +
+      "\005slots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010" +
+      "revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001" +
+      "(\0132\036.org.jackdawsaddle.wire.NodeId\022\020\n\010re" +
+      "vision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001" +
+      " \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReq" +
+      "uest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n" +
+      "\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_m" +
+      "illis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdaw" +
+      "saddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005" +
+      "token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackd" +
+      "awsaddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n" +
+      "\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003" +
+      " \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001" +
+      "(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005toke" +
+      "n\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsad" +
+      "dle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030" +
+      "\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017" +
+      "\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030" +
+      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031" +
+      "\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020" +
+      "\n\010revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n" +
+      "\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQ" +
+      "uery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005t" +
+      "oken\030\001 \001(\004\022\016\n\006status\030\002 \001(\tB-\n%org.jackda" +
+      "wsaddle.internal.wire.protoB\004Wireb\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -29821,7 +29079,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Ping", "Pong", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -29990,32 +29248,26 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_JobMoved_descriptor,
         new java.lang.String[] { "Token", });
-    internal_static_org_jackdawsaddle_wire_Ping_descriptor =
+    internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor =
       getDescriptor().getMessageType(29);
-    internal_static_org_jackdawsaddle_wire_Ping_fieldAccessorTable = new
+    internal_static_org_jackdawsaddle_wire_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_org_jackdawsaddle_wire_Ping_descriptor,
-        new java.lang.String[] { "SentAt", });
-    internal_static_org_jackdawsaddle_wire_Pong_descriptor =
-      getDescriptor().getMessageType(30);
-    internal_static_org_jackdawsaddle_wire_Pong_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_org_jackdawsaddle_wire_Pong_descriptor,
-        new java.lang.String[] { "SentAt", "Revision", });
+        internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor,
+        new java.lang.String[] { "Revision", });
     internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(30);
     internal_static_org_jackdawsaddle_wire_ConfigurationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor,
         new java.lang.String[] { "Revision", "Head", });
     internal_static_org_jackdawsaddle_wire_StatusQuery_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(31);
     internal_static_org_jackdawsaddle_wire_StatusQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_StatusQuery_descriptor,
         new java.lang.String[] { "Token", });
     internal_static_org_jackdawsaddle_wire_StatusAnswer_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(32);
     internal_static_org_jackdawsaddle_wire_StatusAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_StatusAnswer_descriptor,
--- a/jackdawsaddle/src/org/jackdawsaddle/settings/SidecarSettings.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/settings/SidecarSettings.java
@@ -10,13 +10,15 @@
  * @param httpAddress where its target announces itself, as host:port
  * @param entryAddresses where some entries listen for sidecars, as host:port; they tell the others
  * @param drainMillis how long a shutdown waits for tasks in hand
+ * @param traceFile where to record all decisions for replay; empty for none
  */
 public record SidecarSettings(
         String name,
         String dataCentre,
         String httpAddress,
         List<String> entryAddresses,
-        long drainMillis) {
+        long drainMillis,
+        String traceFile) {
 
     /** Copies the list of addresses. */
     public SidecarSettings {
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/trace/TraceFormat.java
@@ -0,0 +1,83 @@
+package org.jackdawsaddle.trace;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.List;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.internal.dispatch.EntryAction;
+import org.jackdawsaddle.internal.dispatch.EntryEvent;
+import org.jackdawsaddle.internal.message.Message;
+import org.jackdawsaddle.internal.sidecar.SidecarAction;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
+
+/** The JSON form of events and actions: each object names its type. */
+public final class TraceFormat {
+    private static final ObjectMapper MAPPER = new ObjectMapper().registerModule(new Jdk8Module());
+
+    static {
+        List.of(
+                        EntryEvent.class,
+                        EntryAction.class,
+                        SidecarEvent.class,
+                        SidecarAction.class,
+                        Message.class,
+                        TraceHeader.class)
+                .forEach(TraceFormat::register);
+    }
+
+    /** Makes Jackson write the name of the type. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+    private interface Named {}
+
+    private TraceFormat() {}
+
+    /** Returns the JSON tree of a value. */
+    public static JsonNode tree(Object value) {
+        return MAPPER.valueToTree(value);
+    }
+
+    /** Returns the JSON text of a value, on one line. */
+    public static String line(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @throws RequestInvalidException if the text does not have the form of the type
+     */
+    public static <T> T read(String line, Class<T> type) {
+        try {
+            return MAPPER.readValue(line, type);
+        } catch (JsonProcessingException e) {
+            throw new RequestInvalidException("trace: " + e.getOriginalMessage());
+        }
+    }
+
+    static <T> T read(JsonNode tree, Class<T> type) {
+        try {
+            return MAPPER.treeToValue(tree, type);
+        } catch (JsonProcessingException e) {
+            throw new RequestInvalidException("trace: " + e.getOriginalMessage());
+        }
+    }
+
+    private static void register(Class<?> type) {
+        MAPPER.addMixIn(type, Named.class);
+        for (Class<?> variant : type.getPermittedSubclasses()) {
+            if (variant.isSealed()) {
+                register(variant);
+            } else {
+                MAPPER.registerSubtypes(new NamedType(variant, variant.getSimpleName()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/trace/TraceReplay.java
@@ -0,0 +1,156 @@
+package org.jackdawsaddle.trace;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.internal.dispatch.EntryCore;
+import org.jackdawsaddle.internal.dispatch.EntryCounter;
+import org.jackdawsaddle.internal.dispatch.EntryEvent;
+import org.jackdawsaddle.internal.sidecar.SidecarCore;
+import org.jackdawsaddle.internal.sidecar.SidecarCounter;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
+
+/** Runs a recorded trace through the decisions and compares what the trace states. */
+public final class TraceReplay {
+    /**
+     * The first place where the decisions differ from the trace.
+     *
+     * @param line the line of the trace, from 1
+     * @param expected what the trace states
+     * @param actual what the decisions did
+     */
+    public record Difference(int line, String expected, String actual) {}
+
+    /** The decisions of either role, as a trace drives them. */
+    private sealed interface Driven {
+        void handle(JsonNode event, long at);
+
+        List<?> actions();
+
+        long counted(String counter);
+    }
+
+    private record DrivenEntry(EntryCore core) implements Driven {
+        @Override
+        public void handle(JsonNode event, long at) {
+            core.handle(TraceFormat.read(event, EntryEvent.class), at);
+        }
+
+        @Override
+        public List<?> actions() {
+            return core.actions();
+        }
+
+        @Override
+        public long counted(String counter) {
+            return core.counted(EntryCounter.valueOf(counter));
+        }
+    }
+
+    private record DrivenSidecar(SidecarCore core) implements Driven {
+        @Override
+        public void handle(JsonNode event, long at) {
+            core.handle(TraceFormat.read(event, SidecarEvent.class), at);
+        }
+
+        @Override
+        public List<?> actions() {
+            return core.actions();
+        }
+
+        @Override
+        public long counted(String counter) {
+            return core.counted(SidecarCounter.valueOf(counter));
+        }
+    }
+
+    private final Driven mDriven;
+    private final List<JsonNode> mActions = new ArrayList<>();
+
+    private TraceReplay(Driven driven) {
+        mDriven = driven;
+    }
+
+    /**
+     * Replays a trace.
+     *
+     * @param lines the lines of the trace, the header first
+     * @return the first difference, or empty if every stated outcome came about
+     * @throws RequestInvalidException if a line does not have the form of a trace
+     */
+    public static Optional<Difference> run(List<String> lines) {
+        if (lines.isEmpty()) {
+            throw new RequestInvalidException("trace: is empty");
+        }
+        TraceReplay replay =
+                new TraceReplay(create(TraceFormat.read(lines.getFirst(), TraceHeader.class)));
+        for (int index = 1; index < lines.size(); index++) {
+            TraceLine line = TraceFormat.read(lines.get(index), TraceLine.class);
+            Optional<Difference> difference = replay.step(index + 1, line);
+            if (difference.isPresent()) {
+                return difference;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Driven create(TraceHeader header) {
+        return switch (header) {
+            case TraceHeader.OfEntry entry ->
+                    new DrivenEntry(
+                            new EntryCore(
+                                    entry.self(),
+                                    entry.layout(),
+                                    entry.queueOrder(),
+                                    new Random(0)));
+            case TraceHeader.OfSidecar sidecar ->
+                    new DrivenSidecar(
+                            new SidecarCore(
+                                    sidecar.self(), sidecar.dataCentre(), sidecar.startedAt()));
+        };
+    }
+
+    private Optional<Difference> step(int number, TraceLine line) {
+        if (line.event() != null) {
+            mDriven.handle(line.event(), line.at());
+            return Optional.empty();
+        }
+        mDriven.actions().forEach(action -> mActions.add(TraceFormat.tree(action)));
+        if (line.counters() != null) {
+            return compareCounters(number, line.counters());
+        }
+        List<JsonNode> actual = List.copyOf(mActions);
+        mActions.clear();
+        return compareActions(number, line.actions(), actual);
+    }
+
+    private static Optional<Difference> compareActions(
+            int number, List<JsonNode> expected, List<JsonNode> actual) {
+        for (int index = 0; index < Math.max(expected.size(), actual.size()); index++) {
+            String wanted = index < expected.size() ? expected.get(index).toString() : "nothing";
+            String done = index < actual.size() ? actual.get(index).toString() : "nothing";
+            if (!wanted.equals(done)) {
+                return Optional.of(new Difference(number, wanted, done));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Difference> compareCounters(int number, Map<String, Long> expected) {
+        for (Map.Entry<String, Long> counter : expected.entrySet()) {
+            long actual = mDriven.counted(counter.getKey());
+            if (actual != counter.getValue()) {
+                return Optional.of(
+                        new Difference(
+                                number,
+                                counter.getKey() + " " + counter.getValue(),
+                                counter.getKey() + " " + actual));
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/trace/TraceWriter.java
@@ -0,0 +1,52 @@
+package org.jackdawsaddle.trace;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.jackdawsaddle.ManagedService;
+
+/** Records what goes into the decisions of a process and what comes out, one JSON line each. */
+public final class TraceWriter implements ManagedService {
+    private final Path mFile;
+    private final TraceHeader mHeader;
+    private PrintWriter mOut;
+
+    /** Creates a writer of a new file; an older file of the same name is replaced. */
+    public TraceWriter(Path file, TraceHeader header) {
+        mFile = file;
+        mHeader = header;
+    }
+
+    @Override
+    public void start() {
+        try {
+            mOut = new PrintWriter(Files.newBufferedWriter(mFile, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        mOut.println(TraceFormat.line(mHeader));
+    }
+
+    @Override
+    public void stop() {
+        mOut.close();
+    }
+
+    /** Records an event. */
+    public void event(long at, Object event) {
+        mOut.println(TraceFormat.line(new TraceLine(at, TraceFormat.tree(event), null, null)));
+    }
+
+    /** Records the actions since the last call, if there are any. */
+    public void actions(List<?> actions) {
+        if (!actions.isEmpty()) {
+            List<JsonNode> trees = actions.stream().map(TraceFormat::tree).toList();
+            mOut.println(TraceFormat.line(new TraceLine(0, null, trees, null)));
+        }
+    }
+}
