Bound what an unreachable sidecar can have started by leases

Cause: SidecarFailureTest.killedOwnerAndSidecarTogetherDoubleNothing failed: after the owner and a sidecar had died together, all 40 jobs after the takeover failed as target-lost. The new owner bounded what the dead sidecar might have started by its own clock plus the 5 s that an id may lie ahead, so every new id stayed in doubt. Ruled out: the sealing itself, which ended after the lease as intended.

An owner now starts only ids up to 4.5 s after its latest renewal that a majority confirmed; sidecars tell the newest renewal when they are sealed, so the next owner knows the bound without a clock, and by the end of the lease it lies in the past. Ids may lie ahead by 2 s.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
@@ -64,8 +64,9 @@
         if (!partition.mayStart(mBoard.mNow)) {
             return;
         }
+        long horizon = partition.idHorizon(mBoard.mNow);
         for (JobQueue queue : partition.mBook.queues().values()) {
-            while (startNext(partition, queue)) {
+            while (startNext(partition, queue, horizon)) {
                 mBoard.count(EntryCounter.TASKS_STARTED);
             }
         }
@@ -166,11 +167,12 @@
         return Optional.empty();
     }
 
-    private boolean startNext(OwnedPartition partition, JobQueue queue) {
+    private boolean startNext(OwnedPartition partition, JobQueue queue, long idHorizon) {
         int looked = 0;
         Optional<Demand> refused = Optional.empty();
         for (Job job : queue.jobs()) {
-            if (refused.isPresent() && refused.get().fitsIn(job.mKind.demand())) {
+            if (job.mRequest.id().unixMillis() > idHorizon
+                    || refused.isPresent() && refused.get().fitsIn(job.mKind.demand())) {
                 continue;
             }
             Optional<SidecarView> target = fastest(partition, job);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
@@ -36,6 +36,7 @@
     long mActiveSince;
     long mDoubtUntil;
     long mUnknowableUntil;
+    long mNewestRenewal;
     long mLastRound;
     private final Map<NodeId, Long> mGrants = new HashMap<>();
 
@@ -93,6 +94,11 @@
         return active() && now < confirmedAt(now) + Timing.LEASE_MILLIS;
     }
 
+    /** Returns the newest timestamp of an id that may be started. */
+    long idHorizon(long now) {
+        return confirmedAt(now) + Timing.ID_HORIZON_MILLIS;
+    }
+
     boolean mayRefuse(long now) {
         return active() && now < confirmedAt(now) + Timing.REFUSAL_LEASE_MILLIS;
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
@@ -57,6 +57,7 @@
         mSealedLast.put(partition, mBoard.mNow);
         if (!partition.active()) {
             partition.mDoubtUntil = Math.max(partition.mDoubtUntil, sealed.newestIdMillis());
+            partition.mNewestRenewal = Math.max(partition.mNewestRenewal, sealed.newestRenewal());
         }
         return true;
     }
@@ -137,23 +138,21 @@
             if (mBoard.mNow < lastSeal + wait) {
                 return false;
             }
-            partition.mUnknowableUntil = mBoard.mNow + Timing.ID_AHEAD_MILLIS;
             return activate(partition);
         }
         return false;
     }
 
     private boolean activate(OwnedPartition partition) {
+        boolean majority =
+                partition.inUse().stream().filter(partition.mSealedAt::containsKey).count()
+                        >= OwnedPartition.majority(partition.inUse());
+        long promised = partition.mNewestRenewal + Timing.ID_HORIZON_MILLIS;
         for (RosterMember member : partition.record().roster()) {
-            long horizon = 0;
-            if (!member.inUse()) {
-                horizon = member.unusedSince() + Timing.CLOCK_TOLERANCE_MILLIS;
-            } else if (superseded(member.sidecar())) {
-                horizon = successorStart(member.sidecar()) + Timing.CLOCK_TOLERANCE_MILLIS;
-            }
-            if (horizon > 0) {
-                partition.mUnknowableUntil =
-                        Math.max(partition.mUnknowableUntil, horizon + Timing.ID_AHEAD_MILLIS);
+            if (!partition.mSealedAt.containsKey(member.sidecar())) {
+                long horizon = latestStart(member);
+                long bound = majority ? Math.min(horizon, promised) : horizon;
+                partition.mUnknowableUntil = Math.max(partition.mUnknowableUntil, bound);
             }
         }
         partition.mDoubtUntil = Math.max(partition.mDoubtUntil, partition.mUnknowableUntil);
@@ -162,6 +161,17 @@
         return true;
     }
 
+    /** Returns the newest timestamp that an id started on the member can have, by the clocks. */
+    private long latestStart(RosterMember member) {
+        long until = mBoard.mNow;
+        if (!member.inUse()) {
+            until = member.unusedSince();
+        } else if (superseded(member.sidecar())) {
+            until = successorStart(member.sidecar());
+        }
+        return until + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_AHEAD_MILLIS;
+    }
+
     private boolean superseded(NodeId member) {
         return successors(member).findAny().isPresent();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
@@ -21,7 +21,14 @@
     public static final long ID_LIFETIME_MILLIS = 300_000;
 
     /** How far an id's timestamp may lie ahead of the clock that checks it. */
-    public static final long ID_AHEAD_MILLIS = 5_000;
+    public static final long ID_AHEAD_MILLIS = 2_000;
+
+    /**
+     * How far the timestamp of an id that is started may lie after the latest renewal that a
+     * majority has confirmed. A new owner learns of that renewal, and so knows without a clock
+     * which ids its predecessor cannot have started.
+     */
+    public static final long ID_HORIZON_MILLIS = LEASE_RENEWAL_MILLIS + ID_AHEAD_MILLIS + 500;
 
     /** How much the clocks of two machines may differ before ids are refused wrongly. */
     public static final long CLOCK_TOLERANCE_MILLIS = 10_000;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
@@ -53,9 +53,10 @@
      * @param partition the index of the partition
      * @param epoch the highest epoch that sealed the partition here
      * @param newestIdMillis the newest timestamp among the ids ever started here for the partition
+     * @param newestRenewal the newest time in a renewal that was confirmed here for the partition
      * @param stamp the sidecar's clock, in milliseconds
      */
-    record Sealed(int partition, long epoch, long newestIdMillis, long stamp)
+    record Sealed(int partition, long epoch, long newestIdMillis, long newestRenewal, long stamp)
             implements SidecarMessage {}
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SealedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SealedPartition.java
@@ -2,11 +2,12 @@
 
 import org.jackdawsaddle.NodeId;
 
-/** What a sidecar keeps of a partition: who may start tasks, and the newest id started. */
+/** What a sidecar keeps of a partition: who may start tasks, and up to which ids. */
 final class SealedPartition {
     long mEpoch;
     NodeId mOwner;
     long mNewestIdMillis;
+    long mNewestRenewal;
 
     /** Takes a seal if no later owner has sealed; returns whether the sender is the owner now. */
     boolean seal(long epoch, NodeId owner) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
@@ -197,12 +197,20 @@
         }
         send(
                 entry,
-                new Sealed(seal.partition(), partition.mEpoch, partition.mNewestIdMillis, mNow));
+                new Sealed(
+                        seal.partition(),
+                        partition.mEpoch,
+                        partition.mNewestIdMillis,
+                        partition.mNewestRenewal,
+                        mNow));
     }
 
     private void onRenew(NodeId entry, EntryMessage.RenewLease renew) {
-        long epoch = partition(renew.partition()).mEpoch;
-        send(entry, new LeaseRenewed(renew.partition(), epoch, renew.sentAt(), mNow));
+        SealedPartition partition = partition(renew.partition());
+        if (renew.epoch() == partition.mEpoch) {
+            partition.mNewestRenewal = Math.max(partition.mNewestRenewal, renew.sentAt());
+        }
+        send(entry, new LeaseRenewed(renew.partition(), partition.mEpoch, renew.sentAt(), mNow));
     }
 
     private void onInquiry(NodeId entry, EntryMessage.Inquiry inquiry) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
@@ -27,6 +27,7 @@
                             .setPartition(sealed.partition())
                             .setEpoch(sealed.epoch())
                             .setNewestIdMillis(sealed.newestIdMillis())
+                            .setNewestRenewal(sealed.newestRenewal())
                             .setStamp(sealed.stamp());
             case LeaseRenewed renewed ->
                     envelope.getLeaseRenewedBuilder()
@@ -73,6 +74,7 @@
                         sealed.getPartition(),
                         sealed.getEpoch(),
                         sealed.getNewestIdMillis(),
+                        sealed.getNewestRenewal(),
                         sealed.getStamp());
             }
             case LEASE_RENEWED -> {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -15345,7 +15345,13 @@
     long getNewestIdMillis();
 
     /**
-     * <code>uint64 stamp = 4;</code>
+     * <code>uint64 newest_renewal = 4;</code>
+     * @return The newestRenewal.
+     */
+    long getNewestRenewal();
+
+    /**
+     * <code>uint64 stamp = 5;</code>
      * @return The stamp.
      */
     long getStamp();
@@ -15425,10 +15431,21 @@
       return newestIdMillis_;
     }
 
-    public static final int STAMP_FIELD_NUMBER = 4;
+    public static final int NEWEST_RENEWAL_FIELD_NUMBER = 4;
+    private long newestRenewal_ = 0L;
+    /**
+     * <code>uint64 newest_renewal = 4;</code>
+     * @return The newestRenewal.
+     */
+    @java.lang.Override
+    public long getNewestRenewal() {
+      return newestRenewal_;
+    }
+
+    public static final int STAMP_FIELD_NUMBER = 5;
     private long stamp_ = 0L;
     /**
-     * <code>uint64 stamp = 4;</code>
+     * <code>uint64 stamp = 5;</code>
      * @return The stamp.
      */
     @java.lang.Override
@@ -15459,8 +15476,11 @@
       if (newestIdMillis_ != 0L) {
         output.writeUInt64(3, newestIdMillis_);
       }
+      if (newestRenewal_ != 0L) {
+        output.writeUInt64(4, newestRenewal_);
+      }
       if (stamp_ != 0L) {
-        output.writeUInt64(4, stamp_);
+        output.writeUInt64(5, stamp_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -15478,9 +15498,13 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, newestIdMillis_);
       }
+      if (newestRenewal_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, newestRenewal_);
+      }
       if (stamp_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, stamp_);
+          .computeUInt64Size(5, stamp_);
       }
       return size;
     }
@@ -15512,6 +15536,8 @@
           != other.getEpoch()) return false;
       if (getNewestIdMillis()
           != other.getNewestIdMillis()) return false;
+      if (getNewestRenewal()
+          != other.getNewestRenewal()) return false;
       if (getStamp()
           != other.getStamp()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -15533,6 +15559,9 @@
       hash = (37 * hash) + NEWEST_ID_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getNewestIdMillis());
+      hash = (37 * hash) + NEWEST_RENEWAL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNewestRenewal());
       hash = (37 * hash) + STAMP_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getStamp());
@@ -15670,6 +15699,7 @@
         partition_ = 0;
         epoch_ = 0L;
         newestIdMillis_ = 0L;
+        newestRenewal_ = 0L;
         stamp_ = 0L;
         return this;
       }
@@ -15714,6 +15744,9 @@
           result.newestIdMillis_ = newestIdMillis_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.newestRenewal_ = newestRenewal_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
           result.stamp_ = stamp_;
         }
       }
@@ -15739,6 +15772,9 @@
         if (other.getNewestIdMillis() != 0L) {
           setNewestIdMillis(other.getNewestIdMillis());
         }
+        if (other.getNewestRenewal() != 0L) {
+          setNewestRenewal(other.getNewestRenewal());
+        }
         if (other.getStamp() != 0L) {
           setStamp(other.getStamp());
         }
@@ -15782,10 +15818,15 @@
                 break;
               } // case 24
               case 32: {
-                stamp_ = input.readUInt64();
+                newestRenewal_ = input.readUInt64();
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 40: {
+                stamp_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -15899,9 +15940,41 @@
         return this;
       }
 
+      private long newestRenewal_ ;
+      /**
+       * <code>uint64 newest_renewal = 4;</code>
+       * @return The newestRenewal.
+       */
+      @java.lang.Override
+      public long getNewestRenewal() {
+        return newestRenewal_;
+      }
+      /**
+       * <code>uint64 newest_renewal = 4;</code>
+       * @param value The newestRenewal to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNewestRenewal(long value) {
+
+        newestRenewal_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 newest_renewal = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNewestRenewal() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        newestRenewal_ = 0L;
+        onChanged();
+        return this;
+      }
+
       private long stamp_ ;
       /**
-       * <code>uint64 stamp = 4;</code>
+       * <code>uint64 stamp = 5;</code>
        * @return The stamp.
        */
       @java.lang.Override
@@ -15909,23 +15982,23 @@
         return stamp_;
       }
       /**
-       * <code>uint64 stamp = 4;</code>
+       * <code>uint64 stamp = 5;</code>
        * @param value The stamp to set.
        * @return This builder for chaining.
        */
       public Builder setStamp(long value) {
 
         stamp_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 stamp = 4;</code>
+       * <code>uint64 stamp = 5;</code>
        * @return This builder for chaining.
        */
       public Builder clearStamp() {
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000010);
         stamp_ = 0L;
         onChanged();
         return this;
@@ -29030,45 +29103,45 @@
       "\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tas" +
       "ks\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskKe" +
       "y\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\"S\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoc" +
-      "h\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\r\n\005sta" +
-      "mp\030\004 \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001 \001(" +
-      "\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"P\n\014Lea" +
-      "seRenewed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\022\017\n\007sent_at\030\003 \001(\004\022\r\n\005stamp\030\004 \001(\004\"w\n\007I" +
-      "nquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
-      "\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%." +
-      "org.jackdawsaddle.wire.SubmissionKey\"e\n\r" +
-      "InquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006numb" +
-      "er\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsad" +
-      "dle.wire.TaskResult\"G\n\023TargetConfigurati" +
-      "on\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n" +
-      "\005slots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010" +
-      "revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001" +
-      "(\0132\036.org.jackdawsaddle.wire.NodeId\022\020\n\010re" +
-      "vision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001" +
-      " \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReq" +
-      "uest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n" +
-      "\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_m" +
-      "illis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdaw" +
-      "saddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005" +
-      "token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackd" +
-      "awsaddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n" +
-      "\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003" +
-      " \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001" +
-      "(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005toke" +
-      "n\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsad" +
-      "dle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030" +
-      "\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017" +
-      "\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030" +
-      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031" +
-      "\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020" +
-      "\n\010revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n" +
-      "\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQ" +
-      "uery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005t" +
-      "oken\030\001 \001(\004\022\016\n\006status\030\002 \001(\tB-\n%org.jackda" +
-      "wsaddle.internal.wire.protoB\004Wireb\006proto" +
-      "3"
+      "\001(\004\"k\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoc" +
+      "h\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016new" +
+      "est_renewal\030\004 \001(\004\022\r\n\005stamp\030\005 \001(\004\"?\n\nRene" +
+      "wLease\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022\017\n\007sent_at\030\003 \001(\004\"P\n\014LeaseRenewed\022\021\n\tpar" +
+      "tition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003" +
+      " \001(\004\022\r\n\005stamp\030\004 \001(\004\"w\n\007Inquiry\022\021\n\tpartit" +
+      "ion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006number\030\003 \001(\004" +
+      "\022:\n\013submissions\030\004 \003(\0132%.org.jackdawsaddl" +
+      "e.wire.SubmissionKey\"e\n\rInquiryAnswer\022\021\n" +
+      "\tpartition\030\001 \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005know" +
+      "n\030\003 \003(\0132\".org.jackdawsaddle.wire.TaskRes" +
+      "ult\"G\n\023TargetConfiguration\022\020\n\010revision\030\001" +
+      " \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024" +
+      "ConfigurationApplied\022\020\n\010revision\030\001 \001(\004\"L" +
+      "\n\tPeerHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdaw" +
+      "saddle.wire.NodeId\022\020\n\010revision\030\002 \001(\004\"7\n\013" +
+      "TaskRequest\022\017\n\007payload\030\001 \001(\014\022\027\n\017expected" +
+      "_millis\030\002 \001(\004\"\227\001\n\nJobRequest\022\017\n\007id_high\030" +
+      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004k" +
+      "ind\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\004\0222\n\005t" +
+      "asks\030\006 \003(\0132#.org.jackdawsaddle.wire.Task" +
+      "Request\"O\n\tSubmitJob\022\r\n\005token\030\001 \001(\004\0223\n\007r" +
+      "equest\030\002 \001(\0132\".org.jackdawsaddle.wire.Jo" +
+      "bRequest\"o\n\tJobAnswer\022\017\n\007outcome\030\001 \001(\r\022\014" +
+      "\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\017\n\007answers\030" +
+      "\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r\n\005tasks\030\006 \001(" +
+      "\r\"O\n\013JobAnswered\022\r\n\005token\030\001 \001(\004\0221\n\006answe" +
+      "r\030\002 \001(\0132!.org.jackdawsaddle.wire.JobAnsw" +
+      "er\"K\n\010QueryJob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_high" +
+      "\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007service\030\004 \001(\t\"" +
+      "=\n\tCancelJob\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030" +
+      "\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010JobMoved\022\r\n\005to" +
+      "ken\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010revision\030\001 \001(\004" +
+      "\"3\n\021ConfigurationPush\022\020\n\010revision\030\001 \001(\004\022" +
+      "\014\n\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n\005token\030\001 " +
+      "\001(\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 \001(\004\022\016\n\006st" +
+      "atus\030\002 \001(\tB-\n%org.jackdawsaddle.internal" +
+      ".wire.protoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -29157,7 +29230,7 @@
     internal_static_org_jackdawsaddle_wire_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Sealed_descriptor,
-        new java.lang.String[] { "Partition", "Epoch", "NewestIdMillis", "Stamp", });
+        new java.lang.String[] { "Partition", "Epoch", "NewestIdMillis", "NewestRenewal", "Stamp", });
     internal_static_org_jackdawsaddle_wire_RenewLease_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable = new
