--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ClaimController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ClaimController.java
@@ -66,7 +66,7 @@
             return Optional.empty();
         }
         mClaims.remove(index);
-        return Optional.of(own(record, version));
+        return Optional.of(own(record, version, true));
     }
 
     /** Takes the answer to a claim. */
@@ -76,8 +76,12 @@
             mBoard.mOutbox.read(StoreKeys.partition(index));
             return Optional.empty();
         }
+        boolean hadOwner =
+                Optional.ofNullable(mBoard.mPartitions.get(index))
+                        .flatMap(before -> before.value().holder())
+                        .isPresent();
         mBoard.mPartitions.put(index, new Versioned<>(version.get(), claim));
-        return Optional.of(own(claim, version.get()));
+        return Optional.of(own(claim, version.get(), hadOwner));
     }
 
     /** Takes note that the answer to a claim is missing; the claim stays open until it is read. */
@@ -103,8 +107,7 @@
         mVacantSince.remove(partition.mIndex);
     }
 
-    private OwnedPartition own(PartitionRecord record, long version) {
-        boolean hadOwner = record.epoch() > 1;
+    private OwnedPartition own(PartitionRecord record, long version, boolean hadOwner) {
         OwnedPartition partition = new OwnedPartition(record, version, hadOwner);
         mBoard.mOwned.put(record.index(), partition);
         mBoard.count(EntryCounter.PARTITIONS_CLAIMED);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
@@ -61,7 +61,7 @@
 
     /** Starts as many waiting tasks as free slots allow, the fastest slot first. */
     void dispatch(OwnedPartition partition) {
-        if (!partition.mayStart(mBoard.mNow)) {
+        if (!partition.active()) {
             return;
         }
         long horizon = partition.idHorizon(mBoard.mNow);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -209,6 +209,7 @@
         for (SidecarView life : older) {
             ownerOf(life).ifPresent(owned -> mResults.onSidecarDead(owned, life));
             mBoard.mSidecars.remove(life.node());
+            mResults.forget(life.node());
         }
     }
 
@@ -220,9 +221,6 @@
         SidecarView view = lost.get();
         view.mConnected = false;
         view.mDisconnectedAt = mBoard.mNow;
-        view.mActiveStamp = 0;
-        view.mLatestStamp = 0;
-        view.mCandidateRound = 0;
         ownerOf(view).ifPresent(owned -> mRecovery.onSidecarLost(owned, node, mDispatch::admit));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryStatus.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryStatus.java
@@ -69,7 +69,7 @@
         List<TargetStatus> targets =
                 board.mSidecars.values().stream()
                         .filter(view -> board.mOwned.containsKey(view.mPartition))
-                        .map(EntryStatus::target)
+                        .map(view -> target(view, usable(board, view)))
                         .toList();
         boolean ready = board.mHead.revision() > 0 && !board.mLeaving;
         return new EntryStatus(
@@ -100,7 +100,7 @@
                 partition.mBook.remembered());
     }
 
-    private static TargetStatus target(SidecarView view) {
+    private static TargetStatus target(SidecarView view, boolean usable) {
         return new TargetStatus(
                 view.mHello.target(),
                 view.mHello.service(),
@@ -110,7 +110,11 @@
                 view.mRunning.size(),
                 view.mSpeed,
                 view.mRevision,
-                view.mActiveStamp > 0);
+                usable);
+    }
+
+    private static boolean usable(EntryBoard board, SidecarView view) {
+        return board.mOwned.get(view.mPartition).mayUse(view.node()) && view.mConnected;
     }
 
     private static String state(SidecarView view) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Outbox.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Outbox.java
@@ -16,7 +16,7 @@
 
 /** Collects actions; starts and stops for the same sidecar leave as one message each. */
 final class Outbox {
-    private record Batch(NodeId sidecar, int partition, long epoch, long stamp) {}
+    private record Batch(NodeId sidecar, int partition, long epoch) {}
 
     private final List<EntryAction> mActions = new ArrayList<>();
     private final Map<Batch, List<StartTask>> mStarts = new LinkedHashMap<>();
@@ -52,21 +52,17 @@
     }
 
     void start(SidecarView sidecar, OwnedPartition partition, StartTask task) {
-        mStarts.computeIfAbsent(
-                        batch(sidecar, partition, sidecar.mActiveStamp), key -> new ArrayList<>())
-                .add(task);
+        mStarts.computeIfAbsent(batch(sidecar, partition), key -> new ArrayList<>()).add(task);
     }
 
     void stop(SidecarView sidecar, OwnedPartition partition, TaskKey task) {
-        mStops.computeIfAbsent(batch(sidecar, partition, 0), key -> new ArrayList<>()).add(task);
+        mStops.computeIfAbsent(batch(sidecar, partition), key -> new ArrayList<>()).add(task);
     }
 
     /** Returns and removes all actions but the stops, which wait for {@link #flushStops}. */
     List<EntryAction> drain() {
         mStarts.forEach((batch, tasks) ->
-                send(
-                        batch.sidecar(),
-                        new StartTasks(batch.partition(), batch.epoch(), batch.stamp(), tasks)));
+                send(batch.sidecar(), new StartTasks(batch.partition(), batch.epoch(), tasks)));
         mStarts.clear();
         List<EntryAction> actions = List.copyOf(mActions);
         mActions.clear();
@@ -80,7 +76,7 @@
         mStops.clear();
     }
 
-    private static Batch batch(SidecarView sidecar, OwnedPartition partition, long stamp) {
-        return new Batch(sidecar.node(), partition.mIndex, partition.mEpoch, stamp);
+    private static Batch batch(SidecarView sidecar, OwnedPartition partition) {
+        return new Batch(sidecar.node(), partition.mIndex, partition.mEpoch);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
@@ -28,6 +28,7 @@
     final List<HeldSubmission> mHeld = new ArrayList<>();
     final List<HeldRefusal> mRefusals = new ArrayList<>();
     final Map<NodeId, Long> mSealedAt = new HashMap<>();
+    final Map<NodeId, Long> mUnsealed = new HashMap<>();
     Phase mPhase = Phase.SEALING;
     long mVersion;
     private PartitionRecord mRecord;
@@ -35,7 +36,6 @@
     Optional<PartitionRecord> mPending = Optional.empty();
     long mActiveSince;
     long mDoubtUntil;
-    long mUnknowableUntil;
     long mNewestRenewal;
     long mLastRound;
     private final Map<NodeId, Long> mGrants = new HashMap<>();
@@ -78,6 +78,10 @@
         mGrants.merge(sidecar, sentAt, Math::max);
     }
 
+    boolean granted(NodeId sidecar) {
+        return mGrants.containsKey(sidecar);
+    }
+
     /**
      * Returns the latest time at which a majority of the roster is known to have confirmed the
      * lease. While a change of the roster is being written, majorities of both are needed.
@@ -90,10 +94,6 @@
         return confirmed;
     }
 
-    boolean mayStart(long now) {
-        return active() && now < confirmedAt(now) + Timing.LEASE_MILLIS;
-    }
-
     /** Returns the newest timestamp of an id that may be started. */
     long idHorizon(long now) {
         return confirmedAt(now) + Timing.ID_HORIZON_MILLIS;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
@@ -16,12 +16,9 @@
 /**
  * Holds the partitions of this entry: seals the sidecars after a claim, renews the lease and keeps
  * the roster in the store.
- *
- * <p>A new owner acts only after every sidecar of the roster has sealed the partition, or after a
- * majority has and the lease of the previous owner must have run out.
  */
 final class OwnershipController {
-    private static final long ROUND_PAUSE_MILLIS = 5;
+    private static final long ROUND_PAUSE_MILLIS = 25;
     private static final long SEAL_REPEAT_MILLIS = 200;
 
     private final EntryBoard mBoard;
@@ -52,7 +49,6 @@
             return true;
         }
         sidecar.mSealedEpoch = sealed.epoch();
-        sidecar.mLatestStamp = sealed.stamp();
         partition.mSealedAt.putIfAbsent(sidecar.node(), mBoard.mNow);
         mSealedLast.put(partition, mBoard.mNow);
         if (!partition.active()) {
@@ -69,8 +65,6 @@
         }
         if (renewed.epoch() == partition.mEpoch) {
             partition.grant(sidecar.node(), renewed.sentAt());
-            sidecar.mLatestStamp = renewed.stamp();
-            activateStamps(partition);
         }
         return true;
     }
@@ -122,54 +116,56 @@
         begin(partition);
     }
 
+    /**
+     * A majority is enough: what the former owner can still start elsewhere has an id that some
+     * sidecar of the majority knows the bound of.
+     */
     private boolean activateIfSealed(OwnedPartition partition) {
         Collection<NodeId> members = partition.inUse();
-        List<NodeId> sealed = members.stream().filter(partition.mSealedAt::containsKey).toList();
-        List<NodeId> dead = members.stream().filter(this::superseded).toList();
-        int settled = sealed.size() + dead.size();
-        long lastSeal = mSealedLast.getOrDefault(partition, mBoard.mNow);
-        boolean hadOwner = partition.mHadOwner;
-        if (settled >= members.size()) {
-            long wait = hadOwner && !members.isEmpty() ? Timing.REFUSAL_LEASE_MILLIS : 0;
-            return mBoard.mNow >= lastSeal + wait && activate(partition);
+        long settled =
+                members.stream()
+                        .filter(member ->
+                                partition.mSealedAt.containsKey(member) || superseded(member))
+                        .count();
+        if (!members.isEmpty() && settled < OwnedPartition.majority(members)) {
+            return false;
         }
-        if (settled >= OwnedPartition.majority(members)) {
-            long wait = Timing.LEASE_MILLIS + Timing.LEASE_SLACK_MILLIS;
-            if (mBoard.mNow < lastSeal + wait) {
-                return false;
-            }
-            return activate(partition);
+        boolean refusalsPossible = partition.mHadOwner && !members.isEmpty();
+        long wait = refusalsPossible ? Timing.REFUSAL_LEASE_MILLIS : 0;
+        if (mBoard.mNow < mSealedLast.getOrDefault(partition, mBoard.mNow) + wait) {
+            return false;
         }
-        return false;
+        activate(partition);
+        return true;
     }
 
-    private boolean activate(OwnedPartition partition) {
-        boolean majority =
-                partition.inUse().stream().filter(partition.mSealedAt::containsKey).count()
-                        >= OwnedPartition.majority(partition.inUse());
-        long promised = partition.mNewestRenewal + Timing.ID_HORIZON_MILLIS;
+    private void activate(OwnedPartition partition) {
         for (RosterMember member : partition.record().roster()) {
             if (!partition.mSealedAt.containsKey(member.sidecar())) {
-                long horizon = latestStart(member);
-                long bound = majority ? Math.min(horizon, promised) : horizon;
-                partition.mUnknowableUntil = Math.max(partition.mUnknowableUntil, bound);
+                long bound = newestStart(partition, member);
+                partition.mUnsealed.put(member.sidecar(), bound);
+                partition.mDoubtUntil = Math.max(partition.mDoubtUntil, bound);
             }
         }
-        partition.mDoubtUntil = Math.max(partition.mDoubtUntil, partition.mUnknowableUntil);
         partition.mPhase = OwnedPartition.Phase.ACTIVE;
         partition.mActiveSince = mBoard.mNow;
-        return true;
     }
 
-    /** Returns the newest timestamp that an id started on the member can have, by the clocks. */
-    private long latestStart(RosterMember member) {
-        long until = mBoard.mNow;
+    /** Returns the newest timestamp of an id that may have been started on the member. */
+    private long newestStart(OwnedPartition partition, RosterMember member) {
+        long sealed = partition.inUse().stream().filter(partition.mSealedAt::containsKey).count();
+        long byClock =
+                startsUntil(member) + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_HORIZON_MILLIS;
+        return sealed >= OwnedPartition.majority(partition.inUse())
+                ? Math.min(byClock, partition.mNewestRenewal + Timing.ID_HORIZON_MILLIS)
+                : byClock;
+    }
+
+    private long startsUntil(RosterMember member) {
         if (!member.inUse()) {
-            until = member.unusedSince();
-        } else if (superseded(member.sidecar())) {
-            until = successorStart(member.sidecar());
+            return member.unusedSince();
         }
-        return until + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_AHEAD_MILLIS;
+        return superseded(member.sidecar()) ? successorStart(member.sidecar()) : mBoard.mNow;
     }
 
     private boolean superseded(NodeId member) {
@@ -225,19 +221,19 @@
         boolean due = mBoard.mNow >= partition.mLastRound + Timing.LEASE_RENEWAL_MILLIS;
         boolean wanted =
                 mBoard.mNow >= partition.mLastRound + ROUND_PAUSE_MILLIS
-                        && (!partition.mRefusals.isEmpty() || stampWanted(partition));
+                        && (!partition.mRefusals.isEmpty() || grantMissing(partition));
         if (due || wanted) {
             round(partition);
         }
     }
 
-    private boolean stampWanted(OwnedPartition partition) {
+    /** Returns whether a sidecar of the roster has not confirmed any round yet. */
+    private boolean grantMissing(OwnedPartition partition) {
         return mBoard.sidecarsOf(partition).stream()
                 .anyMatch(view ->
                         view.mConnected
-                                && view.mActiveStamp == 0
-                                && view.mLatestStamp > 0
-                                && partition.mayUse(view.node()));
+                                && partition.mayUse(view.node())
+                                && !partition.granted(view.node()));
     }
 
     /** Asks every sidecar of the partition to confirm the lease. */
@@ -247,24 +243,9 @@
             if (!sidecar.mConnected || sidecar.mSealedEpoch != partition.mEpoch) {
                 continue;
             }
-            if (sidecar.mCandidateRound == 0) {
-                sidecar.mCandidateStamp = sidecar.mLatestStamp;
-                sidecar.mCandidateRound = partition.mLastRound;
-            }
             mBoard.mOutbox.send(
                     sidecar.node(),
                     new RenewLease(partition.mIndex, partition.mEpoch, partition.mLastRound));
         }
     }
-
-    /** A stamp may be echoed once a majority has confirmed the lease after it arrived. */
-    private void activateStamps(OwnedPartition partition) {
-        long confirmed = partition.confirmedAt(mBoard.mNow);
-        for (SidecarView sidecar : mBoard.sidecarsOf(partition)) {
-            if (sidecar.mCandidateRound > 0 && confirmed >= sidecar.mCandidateRound) {
-                sidecar.mActiveStamp = sidecar.mCandidateStamp;
-                sidecar.mCandidateRound = 0;
-            }
-        }
-    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionHandover.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PartitionHandover.java
@@ -38,8 +38,6 @@
         for (SidecarView sidecar : mBoard.sidecarsOf(partition)) {
             List.copyOf(sidecar.mRunning.keySet()).forEach(sidecar::remove);
             sidecar.mSealedEpoch = 0;
-            sidecar.mActiveStamp = 0;
-            sidecar.mCandidateRound = 0;
         }
         mRecovery.onPartitionLost(partition);
         mRouting.giveBack(partition);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
@@ -1,11 +1,11 @@
 package org.jackdawsaddle.internal.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.jackdawsaddle.NodeId;
@@ -26,6 +26,7 @@
     private static final class OpenInquiry {
         final OwnedPartition mPartition;
         final Set<NodeId> mAwaited = new HashSet<>();
+        final Set<NodeId> mAnswered = new HashSet<>();
         final Map<SubmissionId, Job> mJobs = new LinkedHashMap<>();
 
         OpenInquiry(OwnedPartition partition) {
@@ -36,6 +37,7 @@
     private final EntryBoard mBoard;
     private final JobEnder mEnder;
     private final Map<OwnedPartition, Map<SubmissionId, Job>> mCollected = new LinkedHashMap<>();
+    private final Map<OwnedPartition, List<Job>> mUnsettled = new LinkedHashMap<>();
     private final Map<Long, OpenInquiry> mOpen = new LinkedHashMap<>();
     private final Map<Long, List<TaskKey>> mRunningAsked = new HashMap<>();
     private long mNumber;
@@ -49,6 +51,10 @@
     void inquire(OwnedPartition partition, Job job) {
         mBoard.count(EntryCounter.SUBMISSIONS_IN_DOUBT);
         partition.mBook.add(job);
+        collect(partition, job);
+    }
+
+    private void collect(OwnedPartition partition, Job job) {
         mCollected
                 .computeIfAbsent(partition, key -> new LinkedHashMap<>())
                 .put(job.mRequest.id(), job);
@@ -68,6 +74,7 @@
 
     /** Sends the inquiries collected since the last call. */
     void onTick(BiConsumer<OwnedPartition, Job> admit) {
+        mBoard.owned().forEach(this::askAgain);
         Map<OwnedPartition, Map<SubmissionId, Job>> collected = new LinkedHashMap<>(mCollected);
         mCollected.clear();
         collected.forEach((partition, jobs) -> ask(partition, jobs, admit));
@@ -87,12 +94,14 @@
             adopt(partition, sidecar, open.mJobs.get(known.task().id()), known);
         }
         open.mAwaited.remove(sidecar.node());
+        open.mAnswered.add(sidecar.node());
         finishIfWhole(partition, answer.number(), open, admit);
     }
 
     /** Drops all inquiries of a partition that has another owner. */
     void onPartitionLost(OwnedPartition partition) {
         mCollected.remove(partition);
+        mUnsettled.remove(partition);
         mOpen.values().removeIf(open -> open.mPartition == partition);
     }
 
@@ -102,8 +111,6 @@
         for (Map.Entry<Long, OpenInquiry> entry : List.copyOf(mOpen.entrySet())) {
             OpenInquiry open = entry.getValue();
             if (open.mAwaited.remove(sidecar)) {
-                partition.mUnknowableUntil =
-                        Math.max(partition.mUnknowableUntil, partition.mDoubtUntil);
                 finishIfWhole(partition, entry.getKey(), open, admit);
             }
         }
@@ -119,16 +126,11 @@
         mOpen.put(mNumber, open);
         List<SubmissionId> ids = List.copyOf(jobs.keySet());
         for (RosterMember member : partition.record().roster()) {
-            NodeId node = member.sidecar();
-            boolean usedBefore = member.inUse() || member.unusedSince() >= partition.mActiveSince;
-            Optional<SidecarView> sidecar = mBoard.sidecar(node);
-            if (sidecar.isPresent() && sidecar.get().mConnected) {
-                open.mAwaited.add(node);
+            if (reachable(member.sidecar())) {
+                open.mAwaited.add(member.sidecar());
                 mBoard.mOutbox.send(
-                        node, new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
-            } else if (usedBefore) {
-                partition.mUnknowableUntil =
-                        Math.max(partition.mUnknowableUntil, partition.mDoubtUntil);
+                        member.sidecar(),
+                        new Inquiry(partition.mIndex, partition.mEpoch, mNumber, ids));
             }
         }
         finishIfWhole(partition, mNumber, open, admit);
@@ -145,17 +147,22 @@
         mOpen.remove(number);
         for (Job job : open.mJobs.values()) {
             if (!job.ended()) {
-                conclude(partition, job, admit);
+                conclude(partition, job, open.mAnswered, admit);
             }
         }
     }
 
     private void conclude(
-            OwnedPartition partition, Job job, BiConsumer<OwnedPartition, Job> admit) {
-        boolean unknowable = job.mRequest.id().unixMillis() <= partition.mUnknowableUntil;
-        boolean doubtful = unknowable && !job.allTouched();
+            OwnedPartition partition,
+            Job job,
+            Set<NodeId> answered,
+            BiConsumer<OwnedPartition, Job> admit) {
+        boolean doubtful = !job.allTouched() && unknowable(partition, job, answered);
         if (doubtful && job.retriable()) {
             job.assumeTouched();
+        } else if (doubtful && mayBeSettled(partition, job)) {
+            mUnsettled.computeIfAbsent(partition, key -> new ArrayList<>()).add(job);
+            return;
         } else if (doubtful) {
             String detail = "A sidecar that may have started it is out of reach.";
             mEnder.fail(partition, job, ErrorCode.TARGET_LOST, detail);
@@ -168,6 +175,41 @@
         admit.accept(partition, job);
     }
 
+    /** Returns whether a sidecar that has not answered may have started tasks of the job. */
+    private static boolean unknowable(OwnedPartition partition, Job job, Set<NodeId> answered) {
+        long createdAt = job.mRequest.id().unixMillis();
+        return partition.record().roster().stream()
+                .map(RosterMember::sidecar)
+                .filter(sidecar -> !answered.contains(sidecar))
+                .anyMatch(sidecar ->
+                        createdAt
+                                <= partition.mUnsealed.getOrDefault(
+                                        sidecar, partition.mDoubtUntil));
+    }
+
+    private boolean mayBeSettled(OwnedPartition partition, Job job) {
+        long patience = partition.mActiveSince + Timing.DOUBT_PATIENCE_MILLIS;
+        return mBoard.mNow < Math.min(patience, job.deadline());
+    }
+
+    /** Asks once more about the jobs that wait for a sidecar, if all are back or time is up. */
+    private void askAgain(OwnedPartition partition) {
+        List<Job> jobs = mUnsettled.getOrDefault(partition, List.of());
+        boolean allBack = partition.inUse().stream().allMatch(this::reachable);
+        long patience = partition.mActiveSince + Timing.DOUBT_PATIENCE_MILLIS;
+        if (jobs.isEmpty() || !allBack && mBoard.mNow < patience) {
+            return;
+        }
+        mUnsettled.remove(partition);
+        jobs.stream().filter(job -> !job.ended()).forEach(job -> collect(partition, job));
+    }
+
+    private boolean reachable(NodeId sidecar) {
+        return mBoard.sidecar(sidecar)
+                .filter(view -> view.mConnected && view.mSealedEpoch > 0)
+                .isPresent();
+    }
+
     private void adopt(OwnedPartition partition, SidecarView sidecar, Job job, TaskResult known) {
         if (job == null || job.ended()) {
             return;
@@ -201,7 +243,8 @@
             return List.of();
         }
         Map<TaskKey, TaskResult> results = new LinkedHashMap<>();
-        asked.forEach(key -> results.put(key, TaskResult.refused(key, TaskResult.Refusal.STALE)));
+        asked.forEach(
+                key -> results.put(key, TaskResult.refused(key, TaskResult.Refusal.NOT_RECEIVED)));
         answer.known().forEach(known -> results.computeIfPresent(known.task(), (k, r) -> known));
         return List.copyOf(results.values());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ResultController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ResultController.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.internal.message.TaskKey;
 import org.jackdawsaddle.internal.message.TaskResult;
@@ -20,7 +21,7 @@
     private final SpeedModel mSpeeds;
     private final RetryBudget mRetries;
     private final JobEnder mEnder;
-    private final Map<String, Double> mFailureRatio = new HashMap<>();
+    private final Map<String, Map<NodeId, Double>> mFailureRatios = new HashMap<>();
 
     ResultController(EntryBoard board, SpeedModel speeds, RetryBudget retries, JobEnder ender) {
         mBoard = board;
@@ -73,7 +74,7 @@
         mBoard.count(EntryCounter.TASKS_COMPLETED);
         mRetries.succeeded();
         sidecar.mHealth.succeeded();
-        noteOutcome(job.mKind.name(), 0);
+        noteOutcome(sidecar, job.mKind.name(), 0);
         double runMillis = result.runMicros() / MICROS_PER_MILLI;
         mSpeeds.observe(sidecar, job.mKind.name(), task.expectedMillis(), runMillis);
         if (!job.ended() && job.completed(result.task().index(), result.body())) {
@@ -87,15 +88,34 @@
             return;
         }
         String kind = task.job().mKind.name();
-        boolean blamable = mFailureRatio.getOrDefault(kind, 0.0) < BLAME_RATIO;
-        noteOutcome(kind, 1);
+        boolean blamable = failureRatioElsewhere(sidecar, kind) < BLAME_RATIO;
+        noteOutcome(sidecar, kind, 1);
         if (sidecar.mHealth.failed(task.key().id(), blamable, mBoard.mNow)) {
             mBoard.count(EntryCounter.PROBATIONS);
         }
     }
 
-    private void noteOutcome(String kind, double failed) {
-        mFailureRatio.merge(kind, failed, (ratio, next) -> ratio + RATIO_STEP * (next - ratio));
+    private void noteOutcome(SidecarView sidecar, String kind, double failed) {
+        mFailureRatios
+                .computeIfAbsent(kind, name -> new HashMap<>())
+                .merge(
+                        sidecar.node(),
+                        failed,
+                        (ratio, next) -> ratio + RATIO_STEP * (next - ratio));
+    }
+
+    /** Returns the mean share of failures of the kind on the other targets, 0 without any. */
+    private double failureRatioElsewhere(SidecarView sidecar, String kind) {
+        return mFailureRatios.getOrDefault(kind, Map.of()).entrySet().stream()
+                .filter(ratio -> !ratio.getKey().equals(sidecar.node()))
+                .mapToDouble(Map.Entry::getValue)
+                .average()
+                .orElse(0);
+    }
+
+    /** Forgets what is known of a sidecar's failures. */
+    void forget(NodeId sidecar) {
+        mFailureRatios.values().forEach(ratios -> ratios.remove(sidecar));
     }
 
     private void fail(
@@ -108,10 +128,10 @@
         if (job.ended()) {
             return;
         }
-        if (mayRetry(job)) {
+        job.mTried.add(sidecar.node());
+        if (mayRetry(partition, job)) {
             mBoard.count(EntryCounter.REQUESTS_RETRIED);
             job.mAttempts++;
-            job.mTried.add(sidecar.node());
             job.retry(task.key().index());
             partition.mBook.queue(job.mKind.service()).putBack(job);
             return;
@@ -120,8 +140,13 @@
         mEnder.fail(partition, job, code, detail);
     }
 
-    private boolean mayRetry(Job job) {
-        if (!job.retriable() || job.mAttempts + 1 >= MAX_ATTEMPTS) {
+    private boolean mayRetry(OwnedPartition partition, Job job) {
+        boolean untried =
+                mBoard.sidecarsOf(partition).stream()
+                        .filter(view -> view.mHello.service().equals(job.mKind.service()))
+                        .filter(SidecarView::serving)
+                        .anyMatch(view -> !job.mTried.contains(view.node()));
+        if (!job.retriable() || !untried || job.mAttempts + 1 >= MAX_ATTEMPTS) {
             return false;
         }
         if (!mRetries.take()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
@@ -17,10 +17,6 @@
     long mDisconnectedAt;
     int mPartition;
     long mSealedEpoch;
-    long mLatestStamp;
-    long mCandidateStamp;
-    long mCandidateRound;
-    long mActiveStamp;
     long mRevision;
     boolean mDrained;
     int mSlotLimit;
@@ -55,7 +51,6 @@
     /** Returns whether a task of the given demand can be started now. */
     boolean canStart(Demand demand, long now) {
         return serving()
-                && mActiveStamp > 0
                 && now >= mAvoidUntil
                 && freeSlots(now) > 0
                 && mInUse.plus(demand).fitsIn(capacity(demand));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
@@ -5,17 +5,17 @@
     /** How often controllers look at their deadlines. */
     public static final long TICK_MILLIS = 20;
 
-    /** How long an owner may start tasks after a majority of its roster confirmed the lease. */
-    public static final long LEASE_MILLIS = 6_000;
-
     /** How often an owner renews its lease. */
     public static final long LEASE_RENEWAL_MILLIS = 2_000;
 
-    /** How long a confirmed lease allows an owner to say that nothing was started. */
+    /**
+     * How long a confirmed lease allows an owner to say that nothing was started, and how long the
+     * next owner waits after the last seal.
+     */
     public static final long REFUSAL_LEASE_MILLIS = 500;
 
-    /** How much two clocks may drift apart during one lease. */
-    public static final long LEASE_SLACK_MILLIS = 250;
+    /** How long a submission in doubt waits for a sidecar that is out of reach. */
+    public static final long DOUBT_PATIENCE_MILLIS = 6_000;
 
     /** How long a submission id is valid, counted from its timestamp. */
     public static final long ID_LIFETIME_MILLIS = 300_000;
@@ -46,7 +46,7 @@
     public static final long PEER_SILENCE_MILLIS = 2_000;
 
     /** The same, where the peer's address refuses connections. */
-    public static final long PEER_REFUSED_MILLIS = 1_000;
+    public static final long PEER_REFUSED_MILLIS = 400;
 
     /** The delay of each further candidate for a vacant partition. */
     public static final long CLAIM_STEP_MILLIS = 300;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/EntryMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/EntryMessage.java
@@ -25,11 +25,9 @@
      *
      * @param partition the index of the partition
      * @param epoch the number of the ownership
-     * @param echoedStamp the sidecar's stamp that a majority of sidecars has confirmed since
      * @param tasks the tasks
      */
-    record StartTasks(int partition, long epoch, long echoedStamp, List<StartTask> tasks)
-            implements EntryMessage {
+    record StartTasks(int partition, long epoch, List<StartTask> tasks) implements EntryMessage {
         /** Copies the list. */
         public StartTasks {
             tasks = List.copyOf(tasks);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
@@ -54,9 +54,8 @@
      * @param epoch the highest epoch that sealed the partition here
      * @param newestIdMillis the newest timestamp among the ids ever started here for the partition
      * @param newestRenewal the newest time in a renewal that was confirmed here for the partition
-     * @param stamp the sidecar's clock, in milliseconds
      */
-    record Sealed(int partition, long epoch, long newestIdMillis, long newestRenewal, long stamp)
+    record Sealed(int partition, long epoch, long newestIdMillis, long newestRenewal)
             implements SidecarMessage {}
 
     /**
@@ -65,10 +64,8 @@
      * @param partition the index of the partition
      * @param epoch the highest epoch that sealed the partition here
      * @param sentAt the time in the renewal
-     * @param stamp the sidecar's clock, in milliseconds
      */
-    record LeaseRenewed(int partition, long epoch, long sentAt, long stamp)
-            implements SidecarMessage {}
+    record LeaseRenewed(int partition, long epoch, long sentAt) implements SidecarMessage {}
 
     /**
      * Lists what is known of the submissions in question.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/TaskResult.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/TaskResult.java
@@ -30,8 +30,6 @@
         NONE,
         /** Another owner has sealed the partition. */
         SEALED,
-        /** The sender could not show a recent lease. */
-        STALE,
         /** Every slot is in use. */
         NO_SLOT,
         /** The target's resources do not hold it now. */
@@ -43,7 +41,9 @@
         /** It was cancelled before it started. */
         STOPPED,
         /** The target refused the connection. */
-        TARGET_UNREACHABLE
+        TARGET_UNREACHABLE,
+        /** The message that asked for it never arrived. */
+        NOT_RECEIVED
     }
 
     /** Creates the result of a task that was refused. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
@@ -201,8 +201,7 @@
                         seal.partition(),
                         partition.mEpoch,
                         partition.mNewestIdMillis,
-                        partition.mNewestRenewal,
-                        mNow));
+                        partition.mNewestRenewal));
     }
 
     private void onRenew(NodeId entry, EntryMessage.RenewLease renew) {
@@ -210,7 +209,7 @@
         if (renew.epoch() == partition.mEpoch) {
             partition.mNewestRenewal = Math.max(partition.mNewestRenewal, renew.sentAt());
         }
-        send(entry, new LeaseRenewed(renew.partition(), partition.mEpoch, renew.sentAt(), mNow));
+        send(entry, new LeaseRenewed(renew.partition(), partition.mEpoch, renew.sentAt()));
     }
 
     private void onInquiry(NodeId entry, EntryMessage.Inquiry inquiry) {
@@ -241,7 +240,7 @@
             add(start.partition(), known.get());
             return;
         }
-        Optional<TaskResult.Refusal> refusal = refusal(start, task);
+        Optional<TaskResult.Refusal> refusal = refusal(task);
         if (refusal.isPresent()) {
             refuse(entry, start.partition(), task, refusal.get());
             return;
@@ -249,11 +248,8 @@
         run(start.partition(), task);
     }
 
-    private Optional<TaskResult.Refusal> refusal(EntryMessage.StartTasks start, StartTask task) {
+    private Optional<TaskResult.Refusal> refusal(StartTask task) {
         long createdAt = task.task().id().unixMillis();
-        if (start.echoedStamp() + Timing.LEASE_MILLIS < mNow) {
-            return Optional.of(TaskResult.Refusal.STALE);
-        }
         if (!serving() || mDrained || mRevision == 0) {
             return Optional.of(TaskResult.Refusal.LEAVING);
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCounter.java
@@ -12,8 +12,6 @@
     TASKS_FAILED,
     /** Starts refused because another owner has sealed the partition. */
     REFUSED_SEALED,
-    /** Starts refused because the sender showed no recent lease. */
-    REFUSED_STALE,
     /** Starts refused for want of a slot. */
     REFUSED_NO_SLOT,
     /** Starts refused for want of cores, memory or accelerators. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/EntryWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/EntryWire.java
@@ -26,7 +26,6 @@
                     envelope.getStartTasksBuilder()
                             .setPartition(start.partition())
                             .setEpoch(start.epoch())
-                            .setEchoedStamp(start.echoedStamp())
                             .addAllTasks(start.tasks().stream().map(WireMapper::encode).toList());
             case StopTasks stop ->
                     envelope.getStopTasksBuilder()
@@ -68,7 +67,6 @@
                 yield new StartTasks(
                         start.getPartition(),
                         start.getEpoch(),
-                        start.getEchoedStamp(),
                         start.getTasksList().stream().map(WireMapper::decode).toList());
             }
             case STOP_TASKS -> {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
@@ -27,14 +27,12 @@
                             .setPartition(sealed.partition())
                             .setEpoch(sealed.epoch())
                             .setNewestIdMillis(sealed.newestIdMillis())
-                            .setNewestRenewal(sealed.newestRenewal())
-                            .setStamp(sealed.stamp());
+                            .setNewestRenewal(sealed.newestRenewal());
             case LeaseRenewed renewed ->
                     envelope.getLeaseRenewedBuilder()
                             .setPartition(renewed.partition())
                             .setEpoch(renewed.epoch())
-                            .setSentAt(renewed.sentAt())
-                            .setStamp(renewed.stamp());
+                            .setSentAt(renewed.sentAt());
             case InquiryAnswer answer ->
                     envelope.getInquiryAnswerBuilder()
                             .setPartition(answer.partition())
@@ -74,16 +72,12 @@
                         sealed.getPartition(),
                         sealed.getEpoch(),
                         sealed.getNewestIdMillis(),
-                        sealed.getNewestRenewal(),
-                        sealed.getStamp());
+                        sealed.getNewestRenewal());
             }
             case LEASE_RENEWED -> {
                 Wire.LeaseRenewed renewed = envelope.getLeaseRenewed();
                 yield new LeaseRenewed(
-                        renewed.getPartition(),
-                        renewed.getEpoch(),
-                        renewed.getSentAt(),
-                        renewed.getStamp());
+                        renewed.getPartition(), renewed.getEpoch(), renewed.getSentAt());
             }
             case INQUIRY_ANSWER -> {
                 Wire.InquiryAnswer answer = envelope.getInquiryAnswer();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -11287,31 +11287,25 @@
     long getEpoch();
 
     /**
-     * <code>uint64 echoed_stamp = 3;</code>
-     * @return The echoedStamp.
-     */
-    long getEchoedStamp();
-
-    /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask> 
         getTasksList();
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     org.jackdawsaddle.internal.wire.proto.Wire.StartTask getTasks(int index);
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     int getTasksCount();
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder> 
         getTasksOrBuilderList();
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder getTasksOrBuilder(
         int index);
@@ -11381,29 +11375,18 @@
       return epoch_;
     }
 
-    public static final int ECHOED_STAMP_FIELD_NUMBER = 3;
-    private long echoedStamp_ = 0L;
-    /**
-     * <code>uint64 echoed_stamp = 3;</code>
-     * @return The echoedStamp.
-     */
-    @java.lang.Override
-    public long getEchoedStamp() {
-      return echoedStamp_;
-    }
-
-    public static final int TASKS_FIELD_NUMBER = 4;
+    public static final int TASKS_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
     private java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask> tasks_;
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     @java.lang.Override
     public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask> getTasksList() {
       return tasks_;
     }
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     @java.lang.Override
     public java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder> 
@@ -11411,21 +11394,21 @@
       return tasks_;
     }
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     @java.lang.Override
     public int getTasksCount() {
       return tasks_.size();
     }
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     @java.lang.Override
     public org.jackdawsaddle.internal.wire.proto.Wire.StartTask getTasks(int index) {
       return tasks_.get(index);
     }
     /**
-     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+     * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
      */
     @java.lang.Override
     public org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder getTasksOrBuilder(
@@ -11453,11 +11436,8 @@
       if (epoch_ != 0L) {
         output.writeUInt64(2, epoch_);
       }
-      if (echoedStamp_ != 0L) {
-        output.writeUInt64(3, echoedStamp_);
-      }
       for (int i = 0; i < tasks_.size(); i++) {
-        output.writeMessage(4, tasks_.get(i));
+        output.writeMessage(3, tasks_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -11471,10 +11451,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(2, epoch_);
       }
-      if (echoedStamp_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, echoedStamp_);
-      }
 
           {
             final int count = tasks_.size();
@@ -11512,8 +11488,6 @@
           != other.getPartition()) return false;
       if (getEpoch()
           != other.getEpoch()) return false;
-      if (getEchoedStamp()
-          != other.getEchoedStamp()) return false;
       if (!getTasksList()
           .equals(other.getTasksList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -11532,9 +11506,6 @@
       hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEpoch());
-      hash = (37 * hash) + ECHOED_STAMP_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getEchoedStamp());
       if (getTasksCount() > 0) {
         hash = (37 * hash) + TASKS_FIELD_NUMBER;
         hash = (53 * hash) + getTasksList().hashCode();
@@ -11672,14 +11643,13 @@
         bitField0_ = 0;
         partition_ = 0;
         epoch_ = 0L;
-        echoedStamp_ = 0L;
         if (tasksBuilder_ == null) {
           tasks_ = java.util.Collections.emptyList();
         } else {
           tasks_ = null;
           tasksBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000004);
         return this;
       }
 
@@ -11714,9 +11684,9 @@
 
       private void buildPartialRepeatedFields(org.jackdawsaddle.internal.wire.proto.Wire.StartTasks result) {
         if (tasksBuilder_ == null) {
-          if (((bitField0_ & 0x00000008) != 0)) {
+          if (((bitField0_ & 0x00000004) != 0)) {
             tasks_ = java.util.Collections.unmodifiableList(tasks_);
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
           }
           result.tasks_ = tasks_;
         } else {
@@ -11732,9 +11702,6 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.epoch_ = epoch_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.echoedStamp_ = echoedStamp_;
-        }
       }
 
       @java.lang.Override
@@ -11755,14 +11722,11 @@
         if (other.getEpoch() != 0L) {
           setEpoch(other.getEpoch());
         }
-        if (other.getEchoedStamp() != 0L) {
-          setEchoedStamp(other.getEchoedStamp());
-        }
         if (tasksBuilder_ == null) {
           if (!other.tasks_.isEmpty()) {
             if (tasks_.isEmpty()) {
               tasks_ = other.tasks_;
-              bitField0_ = (bitField0_ & ~0x00000008);
+              bitField0_ = (bitField0_ & ~0x00000004);
             } else {
               ensureTasksIsMutable();
               tasks_.addAll(other.tasks_);
@@ -11775,7 +11739,7 @@
               tasksBuilder_.dispose();
               tasksBuilder_ = null;
               tasks_ = other.tasks_;
-              bitField0_ = (bitField0_ & ~0x00000008);
+              bitField0_ = (bitField0_ & ~0x00000004);
               tasksBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetTasksFieldBuilder() : null;
@@ -11818,12 +11782,7 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
-              case 24: {
-                echoedStamp_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 34: {
+              case 26: {
                 org.jackdawsaddle.internal.wire.proto.Wire.StartTask m =
                     input.readMessage(
                         org.jackdawsaddle.internal.wire.proto.Wire.StartTask.parser(),
@@ -11835,7 +11794,7 @@
                   tasksBuilder_.addMessage(m);
                 }
                 break;
-              } // case 34
+              } // case 26
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11917,44 +11876,12 @@
         return this;
       }
 
-      private long echoedStamp_ ;
-      /**
-       * <code>uint64 echoed_stamp = 3;</code>
-       * @return The echoedStamp.
-       */
-      @java.lang.Override
-      public long getEchoedStamp() {
-        return echoedStamp_;
-      }
-      /**
-       * <code>uint64 echoed_stamp = 3;</code>
-       * @param value The echoedStamp to set.
-       * @return This builder for chaining.
-       */
-      public Builder setEchoedStamp(long value) {
-
-        echoedStamp_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 echoed_stamp = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearEchoedStamp() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        echoedStamp_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask> tasks_ =
         java.util.Collections.emptyList();
       private void ensureTasksIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
+        if (!((bitField0_ & 0x00000004) != 0)) {
           tasks_ = new java.util.ArrayList<org.jackdawsaddle.internal.wire.proto.Wire.StartTask>(tasks_);
-          bitField0_ |= 0x00000008;
+          bitField0_ |= 0x00000004;
          }
       }
 
@@ -11962,7 +11889,7 @@
           org.jackdawsaddle.internal.wire.proto.Wire.StartTask, org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder, org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder> tasksBuilder_;
 
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask> getTasksList() {
         if (tasksBuilder_ == null) {
@@ -11972,7 +11899,7 @@
         }
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public int getTasksCount() {
         if (tasksBuilder_ == null) {
@@ -11982,7 +11909,7 @@
         }
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public org.jackdawsaddle.internal.wire.proto.Wire.StartTask getTasks(int index) {
         if (tasksBuilder_ == null) {
@@ -11992,7 +11919,7 @@
         }
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder setTasks(
           int index, org.jackdawsaddle.internal.wire.proto.Wire.StartTask value) {
@@ -12007,7 +11934,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder setTasks(
           int index, org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder builderForValue) {
@@ -12021,7 +11948,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder addTasks(org.jackdawsaddle.internal.wire.proto.Wire.StartTask value) {
         if (tasksBuilder_ == null) {
@@ -12035,7 +11962,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder addTasks(
           int index, org.jackdawsaddle.internal.wire.proto.Wire.StartTask value) {
@@ -12050,7 +11977,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder addTasks(
           org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder builderForValue) {
@@ -12064,7 +11991,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder addTasks(
           int index, org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder builderForValue) {
@@ -12078,7 +12005,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder addAllTasks(
           java.lang.Iterable<? extends org.jackdawsaddle.internal.wire.proto.Wire.StartTask> values) {
@@ -12093,12 +12020,12 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder clearTasks() {
         if (tasksBuilder_ == null) {
           tasks_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000004);
           onChanged();
         } else {
           tasksBuilder_.clear();
@@ -12106,7 +12033,7 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public Builder removeTasks(int index) {
         if (tasksBuilder_ == null) {
@@ -12119,14 +12046,14 @@
         return this;
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder getTasksBuilder(
           int index) {
         return internalGetTasksFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder getTasksOrBuilder(
           int index) {
@@ -12136,7 +12063,7 @@
         }
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder> 
            getTasksOrBuilderList() {
@@ -12147,14 +12074,14 @@
         }
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder addTasksBuilder() {
         return internalGetTasksFieldBuilder().addBuilder(
             org.jackdawsaddle.internal.wire.proto.Wire.StartTask.getDefaultInstance());
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder addTasksBuilder(
           int index) {
@@ -12162,7 +12089,7 @@
             index, org.jackdawsaddle.internal.wire.proto.Wire.StartTask.getDefaultInstance());
       }
       /**
-       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 4;</code>
+       * <code>repeated .org.jackdawsaddle.wire.StartTask tasks = 3;</code>
        */
       public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder> 
            getTasksBuilderList() {
@@ -12175,7 +12102,7 @@
           tasksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.jackdawsaddle.internal.wire.proto.Wire.StartTask, org.jackdawsaddle.internal.wire.proto.Wire.StartTask.Builder, org.jackdawsaddle.internal.wire.proto.Wire.StartTaskOrBuilder>(
                   tasks_,
-                  ((bitField0_ & 0x00000008) != 0),
+                  ((bitField0_ & 0x00000004) != 0),
                   getParentForChildren(),
                   isClean());
           tasks_ = null;
@@ -15349,12 +15276,6 @@
      * @return The newestRenewal.
      */
     long getNewestRenewal();
-
-    /**
-     * <code>uint64 stamp = 5;</code>
-     * @return The stamp.
-     */
-    long getStamp();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.Sealed}
@@ -15442,17 +15363,6 @@
       return newestRenewal_;
     }
 
-    public static final int STAMP_FIELD_NUMBER = 5;
-    private long stamp_ = 0L;
-    /**
-     * <code>uint64 stamp = 5;</code>
-     * @return The stamp.
-     */
-    @java.lang.Override
-    public long getStamp() {
-      return stamp_;
-    }
-
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -15479,9 +15389,6 @@
       if (newestRenewal_ != 0L) {
         output.writeUInt64(4, newestRenewal_);
       }
-      if (stamp_ != 0L) {
-        output.writeUInt64(5, stamp_);
-      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -15502,10 +15409,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(4, newestRenewal_);
       }
-      if (stamp_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(5, stamp_);
-      }
       return size;
     }
     @java.lang.Override
@@ -15538,8 +15441,6 @@
           != other.getNewestIdMillis()) return false;
       if (getNewestRenewal()
           != other.getNewestRenewal()) return false;
-      if (getStamp()
-          != other.getStamp()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -15562,9 +15463,6 @@
       hash = (37 * hash) + NEWEST_RENEWAL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getNewestRenewal());
-      hash = (37 * hash) + STAMP_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getStamp());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -15700,7 +15598,6 @@
         epoch_ = 0L;
         newestIdMillis_ = 0L;
         newestRenewal_ = 0L;
-        stamp_ = 0L;
         return this;
       }
 
@@ -15746,9 +15643,6 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.newestRenewal_ = newestRenewal_;
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.stamp_ = stamp_;
-        }
       }
 
       @java.lang.Override
@@ -15775,9 +15669,6 @@
         if (other.getNewestRenewal() != 0L) {
           setNewestRenewal(other.getNewestRenewal());
         }
-        if (other.getStamp() != 0L) {
-          setStamp(other.getStamp());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -15822,11 +15713,6 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
-              case 40: {
-                stamp_ = input.readUInt64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -15972,38 +15858,6 @@
         return this;
       }
 
-      private long stamp_ ;
-      /**
-       * <code>uint64 stamp = 5;</code>
-       * @return The stamp.
-       */
-      @java.lang.Override
-      public long getStamp() {
-        return stamp_;
-      }
-      /**
-       * <code>uint64 stamp = 5;</code>
-       * @param value The stamp to set.
-       * @return This builder for chaining.
-       */
-      public Builder setStamp(long value) {
-
-        stamp_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 stamp = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearStamp() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        stamp_ = 0L;
-        onChanged();
-        return this;
-      }
-
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Sealed)
     }
 
@@ -16663,12 +16517,6 @@
      * @return The sentAt.
      */
     long getSentAt();
-
-    /**
-     * <code>uint64 stamp = 4;</code>
-     * @return The stamp.
-     */
-    long getStamp();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.LeaseRenewed}
@@ -16745,17 +16593,6 @@
       return sentAt_;
     }
 
-    public static final int STAMP_FIELD_NUMBER = 4;
-    private long stamp_ = 0L;
-    /**
-     * <code>uint64 stamp = 4;</code>
-     * @return The stamp.
-     */
-    @java.lang.Override
-    public long getStamp() {
-      return stamp_;
-    }
-
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -16779,9 +16616,6 @@
       if (sentAt_ != 0L) {
         output.writeUInt64(3, sentAt_);
       }
-      if (stamp_ != 0L) {
-        output.writeUInt64(4, stamp_);
-      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -16798,10 +16632,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, sentAt_);
       }
-      if (stamp_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, stamp_);
-      }
       return size;
     }
     @java.lang.Override
@@ -16832,8 +16662,6 @@
           != other.getEpoch()) return false;
       if (getSentAt()
           != other.getSentAt()) return false;
-      if (getStamp()
-          != other.getStamp()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -16853,9 +16681,6 @@
       hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSentAt());
-      hash = (37 * hash) + STAMP_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getStamp());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -16990,7 +16815,6 @@
         partition_ = 0;
         epoch_ = 0L;
         sentAt_ = 0L;
-        stamp_ = 0L;
         return this;
       }
 
@@ -17033,9 +16857,6 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.sentAt_ = sentAt_;
         }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.stamp_ = stamp_;
-        }
       }
 
       @java.lang.Override
@@ -17059,9 +16880,6 @@
         if (other.getSentAt() != 0L) {
           setSentAt(other.getSentAt());
         }
-        if (other.getStamp() != 0L) {
-          setStamp(other.getStamp());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -17101,11 +16919,6 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
-              case 32: {
-                stamp_ = input.readUInt64();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -17219,38 +17032,6 @@
         return this;
       }
 
-      private long stamp_ ;
-      /**
-       * <code>uint64 stamp = 4;</code>
-       * @return The stamp.
-       */
-      @java.lang.Override
-      public long getStamp() {
-        return stamp_;
-      }
-      /**
-       * <code>uint64 stamp = 4;</code>
-       * @param value The stamp to set.
-       * @return This builder for chaining.
-       */
-      public Builder setStamp(long value) {
-
-        stamp_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 stamp = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearStamp() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        stamp_ = 0L;
-        onChanged();
-        return this;
-      }
-
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.LeaseRenewed)
     }
 
@@ -29091,57 +28872,56 @@
       ".jackdawsaddle.wire.TaskKey\022\014\n\004kind\030\002 \001(" +
       "\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaining_millis\030\004" +
       " \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.jackdawsaddle" +
-      ".wire.Demand\"v\n\nStartTasks\022\021\n\tpartition\030" +
-      "\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\024\n\014echoed_stamp\030\003 \001" +
-      "(\004\0220\n\005tasks\030\004 \003(\0132!.org.jackdawsaddle.wi" +
-      "re.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(\013" +
-      "2\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005sta" +
-      "te\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022" +
-      "\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpa" +
-      "rtition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.jac" +
-      "kdawsaddle.wire.TaskResult\"]\n\tStopTasks\022" +
-      "\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tas" +
-      "ks\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskKe" +
-      "y\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\"k\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoc" +
-      "h\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016new" +
-      "est_renewal\030\004 \001(\004\022\r\n\005stamp\030\005 \001(\004\"?\n\nRene" +
-      "wLease\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
-      "\022\017\n\007sent_at\030\003 \001(\004\"P\n\014LeaseRenewed\022\021\n\tpar" +
-      "tition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003" +
-      " \001(\004\022\r\n\005stamp\030\004 \001(\004\"w\n\007Inquiry\022\021\n\tpartit" +
-      "ion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006number\030\003 \001(\004" +
-      "\022:\n\013submissions\030\004 \003(\0132%.org.jackdawsaddl" +
-      "e.wire.SubmissionKey\"e\n\rInquiryAnswer\022\021\n" +
-      "\tpartition\030\001 \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005know" +
-      "n\030\003 \003(\0132\".org.jackdawsaddle.wire.TaskRes" +
-      "ult\"G\n\023TargetConfiguration\022\020\n\010revision\030\001" +
-      " \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024" +
-      "ConfigurationApplied\022\020\n\010revision\030\001 \001(\004\"L" +
-      "\n\tPeerHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdaw" +
-      "saddle.wire.NodeId\022\020\n\010revision\030\002 \001(\004\"7\n\013" +
-      "TaskRequest\022\017\n\007payload\030\001 \001(\014\022\027\n\017expected" +
-      "_millis\030\002 \001(\004\"\227\001\n\nJobRequest\022\017\n\007id_high\030" +
-      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004k" +
-      "ind\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\004\0222\n\005t" +
-      "asks\030\006 \003(\0132#.org.jackdawsaddle.wire.Task" +
-      "Request\"O\n\tSubmitJob\022\r\n\005token\030\001 \001(\004\0223\n\007r" +
-      "equest\030\002 \001(\0132\".org.jackdawsaddle.wire.Jo" +
-      "bRequest\"o\n\tJobAnswer\022\017\n\007outcome\030\001 \001(\r\022\014" +
-      "\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\017\n\007answers\030" +
-      "\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r\n\005tasks\030\006 \001(" +
-      "\r\"O\n\013JobAnswered\022\r\n\005token\030\001 \001(\004\0221\n\006answe" +
-      "r\030\002 \001(\0132!.org.jackdawsaddle.wire.JobAnsw" +
-      "er\"K\n\010QueryJob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_high" +
-      "\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007service\030\004 \001(\t\"" +
-      "=\n\tCancelJob\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030" +
-      "\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010JobMoved\022\r\n\005to" +
-      "ken\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010revision\030\001 \001(\004" +
-      "\"3\n\021ConfigurationPush\022\020\n\010revision\030\001 \001(\004\022" +
-      "\014\n\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n\005token\030\001 " +
-      "\001(\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 \001(\004\022\016\n\006st" +
-      "atus\030\002 \001(\tB-\n%org.jackdawsaddle.internal" +
-      ".wire.protoB\004Wireb\006proto3"
+      ".wire.Demand\"`\n\nStartTasks\022\021\n\tpartition\030" +
+      "\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\0220\n\005tasks\030\003 \003(\0132!.or" +
+      "g.jackdawsaddle.wire.StartTask\"}\n\nTaskRe" +
+      "sult\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.w" +
+      "ire.TaskKey\022\r\n\005state\030\002 \001(\r\022\014\n\004body\030\003 \001(\014" +
+      "\022\017\n\007refusal\030\004 \001(\r\022\022\n\nrun_micros\030\005 \001(\004\"U\n" +
+      "\013TaskResults\022\021\n\tpartition\030\001 \001(\r\0223\n\007resul" +
+      "ts\030\002 \003(\0132\".org.jackdawsaddle.wire.TaskRe" +
+      "sult\"]\n\tStopTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005" +
+      "epoch\030\002 \001(\004\022.\n\005tasks\030\003 \003(\0132\037.org.jackdaw" +
+      "saddle.wire.TaskKey\"(\n\004Seal\022\021\n\tpartition" +
+      "\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"\\\n\006Sealed\022\021\n\tparti" +
+      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\030\n\020newest_id_m" +
+      "illis\030\003 \001(\004\022\026\n\016newest_renewal\030\004 \001(\004\"?\n\nR" +
+      "enewLease\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
+      "\001(\004\022\017\n\007sent_at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\t" +
+      "partition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_a" +
+      "t\030\003 \001(\004\"w\n\007Inquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
+      "\005epoch\030\002 \001(\004\022\016\n\006number\030\003 \001(\004\022:\n\013submissi" +
+      "ons\030\004 \003(\0132%.org.jackdawsaddle.wire.Submi" +
+      "ssionKey\"e\n\rInquiryAnswer\022\021\n\tpartition\030\001" +
+      " \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".or" +
+      "g.jackdawsaddle.wire.TaskResult\"G\n\023Targe" +
+      "tConfiguration\022\020\n\010revision\030\001 \001(\004\022\017\n\007drai" +
+      "ned\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024Configuratio" +
+      "nApplied\022\020\n\010revision\030\001 \001(\004\"L\n\tPeerHello\022" +
+      "-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
+      "NodeId\022\020\n\010revision\030\002 \001(\004\"7\n\013TaskRequest\022" +
+      "\017\n\007payload\030\001 \001(\014\022\027\n\017expected_millis\030\002 \001(" +
+      "\004\"\227\001\n\nJobRequest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_" +
+      "low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n" +
+      "\020remaining_millis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#" +
+      ".org.jackdawsaddle.wire.TaskRequest\"O\n\tS" +
+      "ubmitJob\022\r\n\005token\030\001 \001(\004\0223\n\007request\030\002 \001(\013" +
+      "2\".org.jackdawsaddle.wire.JobRequest\"o\n\t" +
+      "JobAnswer\022\017\n\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t" +
+      "\022\016\n\006detail\030\003 \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tas" +
+      "ks_ended\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnsw" +
+      "ered\022\r\n\005token\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.or" +
+      "g.jackdawsaddle.wire.JobAnswer\"K\n\010QueryJ" +
+      "ob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id" +
+      "_low\030\003 \001(\006\022\017\n\007service\030\004 \001(\t\"=\n\tCancelJob" +
+      "\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007ser" +
+      "vice\030\003 \001(\t\"\031\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n" +
+      "\tHeartbeat\022\020\n\010revision\030\001 \001(\004\"3\n\021Configur" +
+      "ationPush\022\020\n\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(" +
+      "\t\"\034\n\013StatusQuery\022\r\n\005token\030\001 \001(\004\"-\n\014Statu" +
+      "sAnswer\022\r\n\005token\030\001 \001(\004\022\016\n\006status\030\002 \001(\tB-" +
+      "\n%org.jackdawsaddle.internal.wire.protoB" +
+      "\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -29200,7 +28980,7 @@
     internal_static_org_jackdawsaddle_wire_StartTasks_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_StartTasks_descriptor,
-        new java.lang.String[] { "Partition", "Epoch", "EchoedStamp", "Tasks", });
+        new java.lang.String[] { "Partition", "Epoch", "Tasks", });
     internal_static_org_jackdawsaddle_wire_TaskResult_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_org_jackdawsaddle_wire_TaskResult_fieldAccessorTable = new
@@ -29230,7 +29010,7 @@
     internal_static_org_jackdawsaddle_wire_Sealed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Sealed_descriptor,
-        new java.lang.String[] { "Partition", "Epoch", "NewestIdMillis", "NewestRenewal", "Stamp", });
+        new java.lang.String[] { "Partition", "Epoch", "NewestIdMillis", "NewestRenewal", });
     internal_static_org_jackdawsaddle_wire_RenewLease_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable = new
@@ -29242,7 +29022,7 @@
     internal_static_org_jackdawsaddle_wire_LeaseRenewed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_LeaseRenewed_descriptor,
-        new java.lang.String[] { "Partition", "Epoch", "SentAt", "Stamp", });
+        new java.lang.String[] { "Partition", "Epoch", "SentAt", });
     internal_static_org_jackdawsaddle_wire_Inquiry_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_org_jackdawsaddle_wire_Inquiry_fieldAccessorTable = new
