--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -36,6 +36,7 @@
             ReplayCommand.class,
             DemoCommand.class,
             MeasureCommand.class,
+            SwarmCommand.class,
             AutoComplete.GenerateCompletion.class
         })
 public final class Main {
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/MeasureCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/MeasureCommand.java
@@ -44,7 +44,7 @@
             double refusalP99Millis,
             long failed,
             long doubled,
-            double workOverIdeal) {}
+            double goodput) {}
 
     @Option(names = "--quick", description = "End within 45 s.")
     private boolean mQuick;
@@ -58,6 +58,9 @@
     @Option(names = "--deployment", description = "${COMPLETION-CANDIDATES}.")
     private Deployment mDeployment = Deployment.FJORDHORN;
 
+    @Option(names = "--timeout-millis", description = "Deadline. Default: ${DEFAULT-VALUE}.")
+    private long mTimeoutMillis = 30_000;
+
     @Option(names = "--entries", description = "Entries. Default: ${DEFAULT-VALUE}.")
     private int mEntries = 3;
 
@@ -81,6 +84,7 @@
                         mEntries,
                         mSeed,
                         mQuick ? QUICK_MILLIS : FULL_MILLIS,
+                        mTimeoutMillis,
                         mQueueOrder);
         Optional<Policy> only =
                 mQuick && mPolicy == null ? Optional.empty() : Optional.ofNullable(mPolicy);
@@ -109,7 +113,7 @@
                 result.refusalP99Millis(),
                 result.failed(),
                 result.doubled(),
-                result.completedWorkMillis() / ideal.completedWorkMillis());
+                result.goodput());
     }
 
     private void print(List<Row> rows) {
@@ -147,7 +151,7 @@
         Row last = rows.getLast();
         last.messagesByType()
                 .forEach((type, count) -> out.printf(Locale.ROOT, "  %-24s %.4f%n", type, count));
-        out.printf(Locale.ROOT, "work answered over ideal %.3f%n", last.workOverIdeal());
+        out.printf(Locale.ROOT, "goodput over capacity %.3f%n", last.goodput());
         out.printf(
                 Locale.ROOT,
                 "response median %.3f p99 %.3f messages/task %.3f doubled %d%n",
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/ClosedLoad.java
@@ -0,0 +1,123 @@
+package org.jackdawsaddle.standin.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.job.TaskRequest;
+
+/** Submits jobs of equal size at a steady rate, or as fast as a number of callers can. */
+public final class ClosedLoad {
+    private static final long PATIENCE_MILLIS = 20_000;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int OK = 200;
+
+    /** The body of a request. */
+    private record Body(String team, String kind, List<TaskRequest> tasks) {}
+
+    private final HttpCaller mCaller;
+    private final UnixClock mClock;
+    private final List<String> mEntries;
+    private final String mBody;
+    private final int mTasks;
+    private final AtomicLong mAnswered = new AtomicLong();
+    private final AtomicLong mRefused = new AtomicLong();
+    private final AtomicLong mOpen = new AtomicLong();
+    private final Responses mResponses = new Responses();
+
+    /**
+     * Creates a load.
+     *
+     * @param entries where callers reach the entries
+     * @param tasks the tasks of each job
+     */
+    public ClosedLoad(
+            HttpCaller caller,
+            UnixClock clock,
+            List<String> entries,
+            String team,
+            String kind,
+            int tasks) {
+        mCaller = caller;
+        mClock = clock;
+        mEntries = List.copyOf(entries);
+        mTasks = tasks;
+        List<TaskRequest> list = new ArrayList<>();
+        for (int index = 0; index < tasks; index++) {
+            list.add(new TaskRequest("0 work", 1));
+        }
+        mBody = StoreJson.write(new Body(team, kind, list));
+    }
+
+    /**
+     * Submits for a time and waits for the last answers.
+     *
+     * @param tasksPerSecond the rate to keep
+     * @param callers the most jobs that are open at a time
+     */
+    public void run(double seconds, double tasksPerSecond, int callers) {
+        long start = System.nanoTime();
+        double gap = NANOS_PER_SECOND * mTasks / tasksPerSecond;
+        for (long number = 0; number * gap < seconds * NANOS_PER_SECOND; number++) {
+            await(start + (long) (number * gap));
+            while (mOpen.get() >= callers) {
+                LockSupport.parkNanos(1);
+            }
+            submit(number);
+            if (System.nanoTime() - start > seconds * NANOS_PER_SECOND) {
+                break;
+            }
+        }
+        while (mOpen.get() > 0) {
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    /** Returns the tasks of the jobs answered whole. */
+    public long tasksAnswered() {
+        return mAnswered.get() * mTasks;
+    }
+
+    /** Returns the jobs that were not answered whole. */
+    public long jobsRefused() {
+        return mRefused.get();
+    }
+
+    /** Returns the response times of the jobs. */
+    public Responses responses() {
+        return mResponses;
+    }
+
+    private void submit(long number) {
+        String address = mEntries.get((int) (number % mEntries.size()));
+        long start = System.nanoTime();
+        mOpen.incrementAndGet();
+        mCaller.call(
+                        new HttpCall(
+                                "POST", address, "/v1/jobs", mBody, mClock.now() + PATIENCE_MILLIS))
+                .whenComplete((answer, failure) -> onAnswer(answer, failure, start));
+    }
+
+    private void onAnswer(HttpAnswer answer, Throwable failure, long start) {
+        if (failure == null && answer.status() == OK) {
+            mAnswered.incrementAndGet();
+            mResponses.add((System.nanoTime() - start) / 1e6);
+        } else {
+            mRefused.incrementAndGet();
+        }
+        mOpen.decrementAndGet();
+    }
+
+    private static void await(long nanos) {
+        long remaining = nanos - System.nanoTime();
+        while (remaining > 0) {
+            LockSupport.parkNanos(remaining);
+            remaining = nanos - System.nanoTime();
+        }
+    }
+}
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/LiveRun.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/LiveRun.java
@@ -34,6 +34,8 @@
     private final AtomicLong mNotRun = new AtomicLong();
     private final AtomicLong mFailed = new AtomicLong();
     private final DoubleAdder mWork = new DoubleAdder();
+    private final double mCapacity;
+    private volatile long mEnd;
 
     /**
      * Creates a run.
@@ -52,6 +54,10 @@
         mTrace = trace;
         mWarmUpMillis = warmUpMillis;
         mTimeoutMillis = timeoutMillis;
+        mCapacity =
+                fleet.targets().stream()
+                        .mapToDouble(target -> target.spec().slots() * target.spec().speed())
+                        .sum();
     }
 
     /** Submits every job at its time and waits for all answers. */
@@ -60,6 +66,7 @@
         long tasksBefore = 0;
         List<CompletableFuture<Void>> open = new ArrayList<>();
         long start = System.nanoTime();
+        mEnd = start + (long) (mTrace.endMillis() * NANOS_PER_MILLI);
         boolean warm = false;
         for (int index = 0; index < mTrace.jobs().size(); index++) {
             TraceJob job = mTrace.jobs().get(index);
@@ -93,7 +100,7 @@
                 mNotRun.get(),
                 mFailed.get(),
                 doubled,
-                mWork.sum(),
+                mWork.sum() / (mCapacity * (mTrace.endMillis() - mWarmUpMillis)),
                 mRefusals.count() > 0 ? mRefusals.p99() : 0);
     }
 
@@ -126,7 +133,9 @@
     private void count(TraceJob job, HttpAnswer answer, Throwable failure, double millis) {
         if (failure == null && answer.status() == OK) {
             mResponses.add(millis);
-            mWork.add(job.tasks().stream().mapToDouble(TraceTask::workMillis).sum());
+            if (System.nanoTime() <= mEnd) {
+                mWork.add(job.tasks().stream().mapToDouble(TraceTask::workMillis).sum());
+            }
         } else if (failure == null && answer.body().contains("\"not-run\"")) {
             mNotRun.incrementAndGet();
             mRefusals.add(millis);
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/Measurement.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/Measurement.java
@@ -15,6 +15,7 @@
  * @param entries the number of entries
  * @param seed the seed of the workload
  * @param durationMillis the length of the workload, warm-up included
+ * @param timeoutMillis the deadline of each job of the product, counted from its arrival
  * @param queueOrder the order in which the product serves waiting jobs
  */
 public record Measurement(
@@ -23,6 +24,7 @@
         int entries,
         long seed,
         double durationMillis,
+        long timeoutMillis,
         String queueOrder) {
     private static final double WARM_UP_MILLIS = 8_000;
 
@@ -46,8 +48,7 @@
         LocalFleet fleet = new LocalFleet(spec);
         fleet.start();
         try {
-            return new LiveRun(fleet, deployment, trace, WARM_UP_MILLIS, deployment.timeoutMillis())
-                    .run();
+            return new LiveRun(fleet, deployment, trace, WARM_UP_MILLIS, timeoutMillis).run();
         } finally {
             fleet.stop();
         }
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/PolicyModel.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/PolicyModel.java
@@ -60,7 +60,6 @@
     private final Deque<JobState> mGlobal = new ArrayDeque<>();
     private final Responses mResponses = new Responses();
     private double mMessages;
-    private double mWork;
     private int mArrivals;
 
     /**
@@ -87,7 +86,7 @@
         }
         endUntil(Double.MAX_VALUE);
         return new PolicyResult(
-                mPolicy, mResponses, mMessages / mTrace.tasks(), Map.of(), 0, 0, 0, mWork, 0);
+                mPolicy, mResponses, mMessages / mTrace.tasks(), Map.of(), 0, 0, 0, 0, 0);
     }
 
     private void endUntil(double time) {
@@ -105,7 +104,6 @@
     private void answer(JobState job, double at) {
         if (job.mJob.arrivalMillis() >= mWarmUpMillis) {
             mResponses.add(at - job.mJob.arrivalMillis());
-            mWork += job.mJob.tasks().stream().mapToDouble(TraceTask::workMillis).sum();
         }
     }
 
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/PolicyResult.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/PolicyResult.java
@@ -12,7 +12,8 @@
  * @param notRun jobs refused as not run
  * @param failed jobs that failed
  * @param doubled tasks that were started more than once
- * @param completedWorkMillis the work of the jobs answered whole, at speed 1
+ * @param goodput the work of the jobs answered whole by the end of the workload, as a share of the
+ *     capacity after the warm-up; 0 for models
  * @param refusalP99Millis the 99th percentile of the time to a refusal, 0 without refusals
  */
 public record PolicyResult(
@@ -23,5 +24,5 @@
         long notRun,
         long failed,
         long doubled,
-        double completedWorkMillis,
+        double goodput,
         double refusalP99Millis) {}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/SidecarSwarm.java
@@ -0,0 +1,125 @@
+package org.jackdawsaddle.standin.load;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.sidecar.SidecarAction;
+import org.jackdawsaddle.internal.sidecar.SidecarCore;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent.TargetAnswered;
+import org.jackdawsaddle.internal.sidecar.SidecarLinks;
+import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireThreads;
+
+/**
+ * Many sidecars in one process, with the real decisions and connections, on targets that end every
+ * task at once. It shows what a fleet costs an entry.
+ */
+public final class SidecarSwarm implements ManagedService {
+    private static final int IO_THREADS = 2;
+    private static final long ANNOUNCE_MILLIS = 2_000;
+    private static final Demand MACHINE = new Demand(64, 262_144, 2);
+
+    private final UnixClock mClock;
+    private final MessageCounts mCounts = new MessageCounts();
+    private final WireThreads mThreads = new WireThreads("swarm", IO_THREADS);
+    private final ControlLoop mLoop;
+    private final List<Member> mMembers = new ArrayList<>();
+    private long mAnnounceAt;
+
+    private final class Member {
+        final SidecarCore mCore;
+        final SidecarLinks mLinks;
+        final SidecarEvent.Announcement mAnnouncement;
+
+        Member(String name, SidecarEvent.Announcement announcement, List<String> entries) {
+            NodeId self = new NodeId(name, new SecureRandom().nextLong() >>> 1);
+            mCore = new SidecarCore(self, "swarm", mClock.now());
+            mAnnouncement = announcement;
+            mLinks = new SidecarLinks(entries, mLoop, this::handle, mThreads, mCounts);
+        }
+
+        void handle(SidecarEvent event) {
+            mCore.handle(event, mClock.now());
+        }
+
+        void perform() {
+            List<SidecarAction> actions = mCore.actions();
+            if (!actions.isEmpty()) {
+                actions.forEach(this::perform);
+                mLinks.flush();
+            }
+        }
+
+        private void perform(SidecarAction action) {
+            switch (action) {
+                case SidecarAction.SendToEntry send -> mLinks.send(send.entry(), send.message());
+                case SidecarAction.RunTask run ->
+                        mLoop.execute(() ->
+                                handle(
+                                        new TargetAnswered(
+                                                run.task().task(),
+                                                TargetAnswered.Outcome.COMPLETED,
+                                                "done",
+                                                1)));
+                case SidecarAction.StopTask stop -> handle(new SidecarEvent.Tick());
+            }
+        }
+    }
+
+    /**
+     * Creates a swarm that is not running.
+     *
+     * @param sidecars how many
+     * @param service the service that all targets run
+     * @param slots the slots of each target
+     * @param entries the addresses of some entries
+     */
+    public SidecarSwarm(
+            int sidecars, String service, int slots, List<String> entries, UnixClock clock) {
+        mClock = clock;
+        mLoop = new ControlLoop("swarm", Timing.TICK_MILLIS, this::tick, this::perform);
+        for (int index = 0; index < sidecars; index++) {
+            String name = "swarm-" + index;
+            SidecarEvent.Announcement announcement =
+                    new SidecarEvent.Announcement(
+                            name, service, "127.0.0.1:1", slots, slots, MACHINE, Demand.NONE);
+            mMembers.add(new Member(name, announcement, entries));
+        }
+    }
+
+    @Override
+    public void start() {
+        mLoop.start();
+        mMembers.forEach(member -> member.mLinks.start());
+    }
+
+    @Override
+    public void stop() {
+        mLoop.stop();
+        mThreads.stop();
+    }
+
+    /** Returns the messages that all sidecars have sent. */
+    public MessageCounts messageCounts() {
+        return mCounts;
+    }
+
+    private void tick() {
+        if (mClock.now() >= mAnnounceAt) {
+            mAnnounceAt = mClock.now() + ANNOUNCE_MILLIS;
+            mMembers.forEach(member ->
+                    member.handle(new SidecarEvent.TargetAnnounced(member.mAnnouncement)));
+        }
+    }
+
+    private void perform() {
+        mMembers.forEach(Member::perform);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/config/FakeStore.java
@@ -0,0 +1,36 @@
+package org.jackdawsaddle.config;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.errors.StoreUnavailableException;
+import org.jackdawsaddle.standin.store.StoreState;
+import org.jackdawsaddle.store.StoreClient;
+import org.jackdawsaddle.store.StoreValue;
+
+/** A store in memory that can lose the answers to writes. */
+final class FakeStore implements StoreClient {
+    final StoreState mState = new StoreState();
+    boolean mLoseAnswers;
+    Runnable mBeforeWrite = () -> mLoseAnswers = mLoseAnswers;
+
+    @Override
+    public CompletableFuture<StoreValue> read(String key) {
+        return CompletableFuture.completedFuture(mState.read(key));
+    }
+
+    @Override
+    public CompletableFuture<Optional<Long>> compareAndSet(
+            String key, long expectedVersion, String value, Optional<Long> leaseMillis) {
+        mBeforeWrite.run();
+        Optional<Long> version = mState.compareAndSet(key, expectedVersion, value, Long.MAX_VALUE);
+        return mLoseAnswers
+                ? CompletableFuture.failedFuture(new StoreUnavailableException("lost"))
+                : CompletableFuture.completedFuture(version);
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, long position, long waitMillis) {
+        return CompletableFuture.completedFuture(
+                new Changes(mState.position(), mState.changes(prefix, position)));
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/entry/CallerInterfaceTest.java
@@ -0,0 +1,170 @@
+package org.jackdawsaddle.internal.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.security.SecureRandom;
+import java.util.Map;
+import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.job.SubmissionId;
+import org.jackdawsaddle.standin.fleet.Deployment;
+import org.jackdawsaddle.standin.fleet.FleetSpec;
+import org.jackdawsaddle.standin.fleet.LocalFleet;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Calls two entries by HTTP, as callers and operators do. */
+public class CallerInterfaceTest {
+    private static final String JOB =
+            "{\"team\": \"fjordhorn\", \"kind\": \"availability\", \"tasks\": [{\"payload\":"
+                    + " \"30 a\"}, {\"payload\": \"10 b\"}]}";
+    private LocalFleet mFleet;
+
+    @BeforeClass
+    public void startFleet() {
+        mFleet = new LocalFleet(FleetSpec.deployment(Deployment.FJORDHORN, 2));
+        mFleet.start();
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopFleet() {
+        mFleet.stop();
+    }
+
+    private HttpAnswer call(int entry, String method, String path, String body) {
+        return call(entry, method, path, body, Map.of());
+    }
+
+    private HttpAnswer call(
+            int entry, String method, String path, String body, Map<String, String> headers) {
+        long deadline = mFleet.clock().now() + 10_000;
+        String address = mFleet.httpAddresses().get(entry);
+        return mFleet.caller()
+                .call(new HttpCall(method, address, path, headers, body, deadline))
+                .join();
+    }
+
+    private static JsonNode json(HttpAnswer answer) {
+        return StoreJson.read(answer.body(), JsonNode.class);
+    }
+
+    private String newId() {
+        return SubmissionId.create(mFleet.clock().now(), new SecureRandom()).toString();
+    }
+
+    @Test
+    public void jobIsAnsweredThroughEitherEntry() {
+        for (int entry = 0; entry < 2; entry++) {
+            HttpAnswer answer = call(entry, "POST", "/v1/jobs", JOB);
+            assertEquals(answer.status(), 200, answer.body());
+            assertEquals(json(answer).path("answers").get(0).asText(), "done a");
+            assertEquals(json(answer).path("answers").get(1).asText(), "done b");
+        }
+    }
+
+    @Test
+    public void resubmissionThroughTheOtherEntryGetsTheSameAnswer() {
+        String path = "/v1/jobs/" + newId();
+        HttpAnswer first = call(0, "PUT", path, JOB);
+        HttpAnswer second = call(1, "PUT", path, JOB);
+        assertEquals(second, first);
+        assertEquals(
+                json(call(1, "GET", path + "?service=ledger", "")).path("outcome").asText(),
+                "complete");
+        HttpAnswer other = call(1, "PUT", path, JOB.replace("30 a", "30 c"));
+        assertEquals(other.status(), 422);
+        assertEquals(json(other).path("code").asText(), "id-reused");
+    }
+
+    @Test
+    public void issuedIdsAreTaken() {
+        JsonNode ids = json(call(0, "POST", "/v1/ids?count=3&kind=availability", ""));
+        assertEquals(ids.path("ids").size(), 3);
+        String path = "/v1/jobs/" + ids.path("ids").get(0).asText();
+        assertEquals(call(1, "PUT", path, JOB).status(), 200);
+    }
+
+    @Test
+    public void cancelledJobIsAnsweredAtOnce() throws InterruptedException {
+        String path = "/v1/jobs/" + newId();
+        String slow = JOB.replace("30 a", "5000 a");
+        Thread cancel =
+                Thread.ofVirtual()
+                        .start(() -> {
+                            pause();
+                            call(1, "DELETE", path + "?service=ledger", "");
+                        });
+        HttpAnswer answer = call(0, "PUT", path, slow);
+        cancel.join();
+        assertEquals(json(answer).path("code").asText(), "cancelled", answer.body());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(200);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @DataProvider
+    public Object[][] wrongRequests() {
+        String huge = "x".repeat(1_100_000);
+        return new Object[][] {
+            {"POST", "/v1/jobs", "{", 400, "body"},
+            {"POST", "/v1/jobs", "[]", 400, "body"},
+            {"POST", "/v1/jobs", "null", 400, "body"},
+            {"POST", "/v1/jobs", JOB.replace("team", "taem"), 400, "taem: unknown field"},
+            {"POST", "/v1/jobs", JOB.replace("fjordhorn", "nobody"), 400, "team: no team"},
+            {"POST", "/v1/jobs", JOB.replace("availability", "x"), 400, "kind: no job kind"},
+            {"POST", "/v1/jobs", JOB.replace("\"10 b\"", "null"), 400, "tasks.[1].payload"},
+            {"POST", "/v1/jobs", JOB.replace("availability", "hire"), 400, "tasks: 2 are more"},
+            {"POST", "/v1/jobs", JOB.replace("{\"team", "{\"deadline\": 5, \"team"), 400, "past"},
+            {"POST", "/v1/jobs", JOB.replace("30 a", huge), 413, ""},
+            {"PUT", "/v1/jobs/not-an-id", JOB, 400, "id: not a UUID"},
+            {"PUT", "/v1/jobs/00000000-0000-4000-8000-000000000000", JOB, 400, "id: not"},
+            {"PUT", "/v1/jobs/ff000000-0000-7000-8000-000000000000", JOB, 422, "id ff0"},
+            {"PUT", "/v1/jobs/01000000-0000-7000-8000-000000000000", JOB, 502, "id 01"},
+            {"POST", "/v1/ids?count=0", "", 400, "count"},
+            {"GET", "/v1/jobs/01000000-0000-7000-8000-000000000000", "", 400, "service"},
+            {"GET", "/admin/v1/status", "", 401, ""},
+            {"PUT", "/admin/v1/configuration", "{}", 401, ""},
+            {"POST", "/admin/v1/forget/x", "", 401, ""}
+        };
+    }
+
+    @Test(dataProvider = "wrongRequests")
+    public void wrongRequestIsRefusedWithACodeAndARemedy(
+            String method, String path, String body, int status, String detail) {
+        long before = mFleet.starts().size();
+        HttpAnswer answer = call(0, method, path, body);
+        assertEquals(answer.status(), status, answer.body());
+        assertTrue(json(answer).path("detail").asText().contains(detail), answer.body());
+        assertTrue(!json(answer).path("code").asText().isEmpty(), answer.body());
+        assertTrue(!json(answer).path("remedy").asText().isEmpty(), answer.body());
+        assertEquals(mFleet.starts().size(), before, "starts");
+    }
+
+    @Test
+    public void wrongSetIsRefusedWithItsFindings() {
+        String body =
+                "{\"baseRevision\": 1, \"publicationId\": \"x\", \"author\": \"a\", \"reason\":"
+                        + " \"r\", \"set\": {\"services\": [{\"name\": \"A B\"}]}}";
+        Map<String, String> token = Map.of("Authorization", "Bearer " + LocalFleet.TOKEN);
+        HttpAnswer answer = call(0, "PUT", "/admin/v1/configuration", body, token);
+        assertEquals(answer.status(), 422);
+        assertTrue(json(answer).path("findings").size() >= 3, answer.body());
+    }
+
+    @Test
+    public void metricsAndHealthAreServed() {
+        assertTrue(call(0, "GET", "/metrics", "").body().contains("jackdawsaddle_entry_"));
+        assertEquals(call(0, "GET", "/health/ready", "").status(), 200);
+        assertEquals(call(0, "GET", "/health/live", "").status(), 200);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/sidecar/SidecarCoreTest.java
@@ -0,0 +1,208 @@
+package org.jackdawsaddle.internal.sidecar;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.internal.message.StartTask;
+import org.jackdawsaddle.internal.message.TaskKey;
+import org.jackdawsaddle.internal.message.TaskResult;
+import org.jackdawsaddle.internal.message.TaskResult.Refusal;
+import org.jackdawsaddle.job.SubmissionId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Checks what a sidecar lets start. */
+public class SidecarCoreTest {
+    private static final NodeId OWNER = new NodeId("owner", 1);
+    private static final NodeId NEXT = new NodeId("next", 1);
+    private static final Demand HALF = new Demand(5, 100, 0);
+
+    private final Random mRandom = new Random(1);
+    private final List<SidecarAction> mActions = new ArrayList<>();
+    private SidecarCore mCore;
+    private long mNow = 1_800_000_000_000L;
+
+    @BeforeMethod
+    public void startSidecar() {
+        mActions.clear();
+        mCore = new SidecarCore(new NodeId("target", 1), "here", mNow);
+        handle(new SidecarEvent.EntryConnected(OWNER));
+        handle(new SidecarEvent.EntryConnected(NEXT));
+        announce(2);
+        sent(OWNER, new EntryMessage.TargetConfiguration(1, false, 0));
+        sent(OWNER, new EntryMessage.Seal(0, 1));
+        mActions.clear();
+    }
+
+    @Test
+    public void unsealedOwnerStartsNothing() {
+        sent(NEXT, start(2, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.SEALED));
+    }
+
+    @Test
+    public void formerOwnerStartsNothingAndTheNextGetsTheResults() {
+        StartTask running = task();
+        sent(OWNER, start(1, running, Demand.NONE));
+        sent(NEXT, new EntryMessage.Seal(0, 2));
+        sent(OWNER, start(1, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.SEALED));
+        mActions.clear();
+        end(running);
+        assertTrue(
+                mActions.stream()
+                        .anyMatch(action ->
+                                action instanceof SidecarAction.SendToEntry send
+                                        && send.entry().equals(NEXT)));
+    }
+
+    @Test
+    public void sealTellsWhatWasStartedAndRenewed() {
+        StartTask task = task();
+        sent(OWNER, start(1, task, Demand.NONE));
+        sent(OWNER, new EntryMessage.RenewLease(0, 1, 77));
+        mActions.clear();
+        sent(NEXT, new EntryMessage.Seal(0, 2));
+        assertEquals(
+                mActions,
+                List.of(
+                        new SidecarAction.SendToEntry(
+                                NEXT,
+                                new SidecarMessage.Sealed(
+                                        0, 2, task.task().id().unixMillis(), 77))));
+    }
+
+    @Test
+    public void taskIsStartedOnceHoweverOftenItIsAsked() {
+        StartTask task = task();
+        sent(OWNER, start(1, task, Demand.NONE));
+        sent(OWNER, start(1, task, Demand.NONE));
+        end(task);
+        sent(OWNER, start(1, task, Demand.NONE));
+        assertEquals(runs(), 1);
+        assertEquals(mCore.counted(SidecarCounter.DUPLICATE_STARTS), 2);
+    }
+
+    @Test
+    public void slotsAndResourcesAreNotOvercommitted() {
+        sent(OWNER, start(1, task(), HALF));
+        sent(OWNER, start(1, task(), HALF));
+        sent(OWNER, start(1, task(), Demand.NONE));
+        sent(OWNER, start(1, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.NO_ROOM, Refusal.NO_SLOT));
+        assertEquals(runs(), 2);
+    }
+
+    @Test
+    public void leavingTargetStartsNothingButFinishes() {
+        StartTask task = task();
+        sent(OWNER, start(1, task, Demand.NONE));
+        handle(new SidecarEvent.LeaveRequested());
+        sent(OWNER, start(1, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.LEAVING));
+        assertTrue(!mCore.idle());
+        end(task);
+        assertTrue(mCore.idle());
+    }
+
+    @Test
+    public void silentTargetIsTakenForGone() {
+        mNow += 6_000;
+        handle(new SidecarEvent.Tick());
+        sent(OWNER, start(1, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.LEAVING));
+    }
+
+    @Test
+    public void cancelledTaskIsNotStartedAfterwards() {
+        StartTask task = task();
+        sent(OWNER, new EntryMessage.StopTasks(0, 1, List.of(task.task())));
+        sent(OWNER, start(1, task, Demand.NONE));
+        assertEquals(runs(), 0);
+    }
+
+    @Test
+    public void oldIdIsRefusedOnceItMayBeForgotten() {
+        StartTask task = task();
+        sent(OWNER, start(1, task, Demand.NONE));
+        end(task);
+        mNow += Timing.ID_LIFETIME_MILLIS + 2 * Timing.CLOCK_TOLERANCE_MILLIS + 1_000;
+        announce(2);
+        handle(new SidecarEvent.Tick());
+        assertEquals(mCore.remembered(), 0, "memory is bounded");
+        sent(OWNER, start(1, task, Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.EXPIRED));
+    }
+
+    @Test
+    public void olderRevisionIsNotApplied() {
+        sent(OWNER, new EntryMessage.TargetConfiguration(3, true, 0));
+        sent(OWNER, new EntryMessage.TargetConfiguration(2, false, 0));
+        sent(OWNER, start(1, task(), Demand.NONE));
+        assertEquals(refusals(), List.of(Refusal.LEAVING));
+        assertEquals(mCore.revision(), 3);
+    }
+
+    private void announce(int slots) {
+        handle(
+                new SidecarEvent.TargetAnnounced(
+                        new SidecarEvent.Announcement(
+                                "target",
+                                "service",
+                                "127.0.0.1:1",
+                                slots,
+                                64,
+                                new Demand(8, 1_000, 0),
+                                Demand.NONE)));
+    }
+
+    private StartTask task() {
+        SubmissionId id = SubmissionId.create(mNow, mRandom);
+        return new StartTask(new TaskKey(id, 0), "kind", "work", 1_000, Demand.NONE);
+    }
+
+    private static EntryMessage start(long epoch, StartTask task, Demand demand) {
+        StartTask demanding =
+                new StartTask(
+                        task.task(), task.kind(), task.payload(), task.remainingMillis(), demand);
+        return new EntryMessage.StartTasks(0, epoch, List.of(demanding));
+    }
+
+    private void end(StartTask task) {
+        handle(
+                new SidecarEvent.TargetAnswered(
+                        task.task(), SidecarEvent.TargetAnswered.Outcome.COMPLETED, "done", 1_000));
+    }
+
+    private void sent(NodeId entry, EntryMessage message) {
+        handle(new SidecarEvent.EntrySent(entry, message));
+    }
+
+    private void handle(SidecarEvent event) {
+        mCore.handle(event, mNow);
+        mActions.addAll(mCore.actions());
+    }
+
+    private long runs() {
+        return mActions.stream().filter(SidecarAction.RunTask.class::isInstance).count();
+    }
+
+    private List<Refusal> refusals() {
+        return mActions.stream()
+                .filter(SidecarAction.SendToEntry.class::isInstance)
+                .map(action -> ((SidecarAction.SendToEntry) action).message())
+                .filter(SidecarMessage.TaskResults.class::isInstance)
+                .flatMap(message -> ((SidecarMessage.TaskResults) message).results().stream())
+                .filter(result -> result.state() == TaskResult.State.NOT_RUN)
+                .map(TaskResult::refusal)
+                .toList();
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireMapperTest.java
@@ -0,0 +1,77 @@
+package org.jackdawsaddle.internal.wire;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Random;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.internal.message.EntryMessage;
+import org.jackdawsaddle.internal.message.Message;
+import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.message.SidecarMessage;
+import org.jackdawsaddle.internal.message.StartTask;
+import org.jackdawsaddle.internal.message.TaskKey;
+import org.jackdawsaddle.internal.message.TaskResult;
+import org.jackdawsaddle.job.JobAnswer;
+import org.jackdawsaddle.job.JobRequest;
+import org.jackdawsaddle.job.SubmissionId;
+import org.jackdawsaddle.job.TaskRequest;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Every message comes out as it went in. */
+public class WireMapperTest {
+    private static final NodeId NODE = new NodeId("node", Long.MAX_VALUE);
+    private static final SubmissionId ID = SubmissionId.create(1_800_000_000_000L, new Random(1));
+    private static final TaskKey KEY = new TaskKey(ID, 159);
+    private static final TaskResult RESULT =
+            new TaskResult(KEY, TaskResult.State.FAILED, "påse", TaskResult.Refusal.NO_ROOM, 1_234);
+
+    @DataProvider
+    public Object[][] messages() {
+        JobRequest request =
+                new JobRequest(ID, "team", "kind", 0, List.of(new TaskRequest("á", 5)));
+        StartTask start = new StartTask(KEY, "kind", "work", 7, new Demand(0.5, 3, 2));
+        List<Message> all =
+                List.of(
+                        new SidecarMessage.SidecarHello(
+                                NODE, "t", "s", "d", 8, 64, Demand.NONE, true, 9, 10),
+                        new SidecarMessage.TaskResults(3, List.of(RESULT)),
+                        new SidecarMessage.Sealed(3, 4, 5, 6),
+                        new SidecarMessage.LeaseRenewed(3, 4, 5),
+                        new SidecarMessage.InquiryAnswer(3, 4, List.of(RESULT)),
+                        new SidecarMessage.ConfigurationApplied(4),
+                        new EntryMessage.Welcome(NODE, List.of("127.0.0.1:1")),
+                        new EntryMessage.StartTasks(3, 4, List.of(start)),
+                        new EntryMessage.StopTasks(3, 4, List.of(KEY)),
+                        new EntryMessage.Seal(3, 4),
+                        new EntryMessage.RenewLease(3, 4, 5),
+                        new EntryMessage.Inquiry(3, 4, 5, List.of(ID)),
+                        new EntryMessage.TargetConfiguration(3, true, 5),
+                        new PeerMessage.PeerHello(NODE, 5),
+                        new PeerMessage.SubmitJob(6, request, 700),
+                        answered(new JobAnswer.Complete(List.of("a", ""))),
+                        answered(new JobAnswer.NotRun(ErrorCode.OVERLOADED, "why")),
+                        answered(new JobAnswer.Failed(ErrorCode.TASK_FAILED, "why")),
+                        answered(new JobAnswer.Pending(1, 2)),
+                        new PeerMessage.JobMoved(6),
+                        new PeerMessage.QueryJob(6, ID, "s"),
+                        new PeerMessage.CancelJob(ID, "s"),
+                        new PeerMessage.Heartbeat(5),
+                        new PeerMessage.ConfigurationPush(5, "{}"),
+                        new PeerMessage.StatusQuery(6),
+                        new PeerMessage.StatusAnswer(6, "{}"));
+        return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
+    }
+
+    private static Message answered(JobAnswer answer) {
+        return new PeerMessage.JobAnswered(6, answer);
+    }
+
+    @Test(dataProvider = "messages")
+    public void messageSurvivesTheWire(Message message) {
+        assertEquals(WireMapper.decode(WireMapper.encode(message)), message);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/settings/SettingsReaderTest.java
@@ -0,0 +1,51 @@
+package org.jackdawsaddle.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.jackdawsaddle.errors.SettingsInvalidException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Reads settings files, right and wrong ones. */
+public class SettingsReaderTest {
+    private static final String REQUIRED =
+            "\"name\": \"e\", \"dataCentre\": \"d\", \"httpAddress\": \"127.0.0.1:1\","
+                    + "\"peerAddress\": \"127.0.0.1:2\", \"storeAddress\": \"127.0.0.1:3\"";
+
+    @Test
+    public void absentFieldsHaveTheirDefaults() {
+        EntrySettings settings = SettingsReader.entry().parse("f", "{" + REQUIRED + "}");
+        assertEquals(settings.name(), "e");
+        assertEquals(settings.partitions(), 1);
+        assertEquals(settings.reachableAddress(), "127.0.0.1:2");
+    }
+
+    @Test
+    public void exampleIsItselfASettingsFile() {
+        String example = SettingsReader.sidecar().example();
+        assertEquals(SettingsReader.sidecar().parse("f", example).name(), "bergen-a-0");
+    }
+
+    @DataProvider
+    public Object[][] wrongFiles() {
+        return new Object[][] {
+            {"{" + REQUIRED + ", \"nmae\": 1}", "nmae: is unknown"},
+            {"{" + REQUIRED + ", \"partitions\": \"1\"}", "partitions: is STRING, not NUMBER"},
+            {"{\"name\": \"e\"}", "is missing"},
+            {"[]", "is no JSON object"},
+            {"{", "Unexpected end-of-input"}
+        };
+    }
+
+    @Test(dataProvider = "wrongFiles")
+    public void wrongFileIsRefusedWithPathAndRemedy(String text, String problem) {
+        SettingsInvalidException failure =
+                expectThrows(
+                        SettingsInvalidException.class,
+                        () -> SettingsReader.entry().parse("file.json", text));
+        assertTrue(failure.getMessage().contains(problem), failure.getMessage());
+        assertTrue(failure.getMessage().contains("Remedy: "), failure.getMessage());
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/errors/ErrorCode.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/errors/ErrorCode.java
@@ -41,7 +41,7 @@
             "deadline-passed",
             503,
             "The deadline passed before any task could start.",
-            "Submit again with a later deadline or under less load."),
+            "Submit under a new id with a later deadline or under less load."),
     DEADLINE_EXCEEDED(
             "deadline-exceeded",
             502,
@@ -51,7 +51,7 @@
             "deadline-unreachable",
             503,
             "The work in line would end after the deadline.",
-            "Submit again later, or with a later deadline."),
+            "Submit under a new id later, or with a later deadline."),
     DRAINING(
             "draining",
             503,
@@ -86,7 +86,7 @@
             "limit-exceeded",
             429,
             "A limit of the team or job kind is used up.",
-            "Submit again after earlier work has ended, or raise the limit."),
+            "Submit under a new id after earlier work has ended, or raise the limit."),
     NEVER_FITS(
             "never-fits",
             422,
@@ -97,7 +97,8 @@
             503,
             "No target of the service is able to take work.",
             "Check status for targets that are missing, drained or failing."),
-    OVERLOADED("overloaded", 503, "The queue of the service is full.", "Submit again later."),
+    OVERLOADED(
+            "overloaded", 503, "The queue of the service is full.", "Submit under a new id later."),
     OWNER_UNREACHABLE(
             "owner-unreachable",
             502,
@@ -127,7 +128,7 @@
             "target-unreachable",
             503,
             "The target refused the connection.",
-            "Nothing ran; submit again."),
+            "Nothing ran; submit under a new id."),
     TASK_FAILED(
             "task-failed",
             502,
