--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
@@ -96,7 +96,7 @@
                 new EntryEvent.SidecarAnnounced(
                         new SidecarMessage.SidecarHello(
                                 node, target, "service", "here", SLOTS, 64, MACHINE, serving, mNow,
-                                1)));
+                                1, false)));
     }
 
     long submit(String kind, int tasks) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkFaults.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/WalkFaults.java
@@ -1,10 +1,12 @@
 package org.jackdawsaddle.internal.dispatch;
 
 import java.util.List;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent;
 
 /** The faults of a walk. */
 final class WalkFaults {
-    private static final int KINDS = 8;
+    private static final int KINDS = 9;
+    private static final long POLL_MILLIS = 50;
     private static final long MAX_ISLAND_MILLIS = 15_000;
 
     private WalkFaults() {}
@@ -18,6 +20,7 @@
             case 3 -> freeze(walk, any(walk, walk.sidecars()));
             case 4 -> storeOutage(walk);
             case 6 -> island(walk);
+            case 7 -> retireSidecar(walk);
             case 5 -> cut(any(walk, walk.entries()), walk);
             default -> leave(walk);
         }
@@ -37,6 +40,28 @@
         walk.mAgenda.after(span(walk), () -> walk.startSidecar(sidecar.mName));
     }
 
+    /** Asks a sidecar to leave, and ends it once it says that nothing depends on it. */
+    private static void retireSidecar(Walk walk) {
+        SidecarNode sidecar = any(walk, walk.sidecars());
+        walk.mCallers.count("sidecar leaving");
+        sidecar.run(() -> sidecar.handle(new SidecarEvent.LeaveRequested()));
+        awaitIdle(walk, sidecar);
+    }
+
+    private static void awaitIdle(Walk walk, SidecarNode sidecar) {
+        walk.mAgenda.after(
+                POLL_MILLIS,
+                () -> {
+                    if (sidecar.mAlive && !sidecar.mCore.idle()) {
+                        awaitIdle(walk, sidecar);
+                    } else if (sidecar.mAlive) {
+                        walk.mCallers.count("sidecar released");
+                        sidecar.kill();
+                        walk.mAgenda.after(span(walk), () -> walk.startSidecar(sidecar.mName));
+                    }
+                });
+    }
+
     private static void freeze(Walk walk, WalkNode node) {
         walk.mCallers.count("frozen");
         node.freeze();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/sidecar/SidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/sidecar/SidecarCoreTest.java
@@ -110,6 +110,8 @@
         assertEquals(refusals(), List.of(Refusal.LEAVING));
         assertTrue(!mCore.idle());
         end(task);
+        assertTrue(!mCore.idle(), "the owner still relies on its memory");
+        sent(OWNER, new EntryMessage.Release(0, 1));
         assertTrue(mCore.idle());
     }
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireMapperTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireMapperTest.java
@@ -37,7 +37,7 @@
         List<Message> all =
                 List.of(
                         new SidecarMessage.SidecarHello(
-                                NODE, "t", "s", "d", 8, 64, Demand.NONE, true, 9, 10),
+                                NODE, "t", "s", "d", 8, 64, Demand.NONE, true, 9, 10, true),
                         new SidecarMessage.TaskResults(3, List.of(RESULT)),
                         new SidecarMessage.Sealed(3, 4, 5, 6),
                         new SidecarMessage.LeaseRenewed(3, 4, 5),
@@ -47,6 +47,7 @@
                         new EntryMessage.StartTasks(3, 4, List.of(start)),
                         new EntryMessage.StopTasks(3, 4, List.of(KEY)),
                         new EntryMessage.Seal(3, 4),
+                        new EntryMessage.Release(3, 4),
                         new EntryMessage.RenewLease(3, 4, 5),
                         new EntryMessage.Inquiry(3, 4, 5, List.of(ID)),
                         new EntryMessage.TargetConfiguration(3, true, 5),
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/DispatchController.java
@@ -225,6 +225,7 @@
                         job.mRequest.tasks().get(index).payload(),
                         job.deadline() - mBoard.mNow,
                         job.mKind.demand());
+        partition.noteStarted(target.node(), job.mRequest.id().unixMillis());
         mBoard.mOutbox.start(target, partition, task);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnedPartition.java
@@ -41,9 +41,12 @@
     long mDoubtUntil;
     long mNewestRenewal;
     long mLastRound;
+    long mLastSealAt;
+    long mSealRepeatAt;
     long mRosterCheckAt;
     boolean mRosterIncomplete = true;
     private final Map<NodeId, Long> mGrants = new HashMap<>();
+    private final Map<NodeId, Long> mNewestStarted = new HashMap<>();
 
     OwnedPartition(PartitionRecord record, long version, boolean hadOwner) {
         mIndex = record.index();
@@ -100,6 +103,15 @@
         mGrantsChanged = true;
     }
 
+    /** Notes the timestamp of an id that was started on a sidecar. */
+    void noteStarted(NodeId sidecar, long idMillis) {
+        mNewestStarted.merge(sidecar, idMillis, Math::max);
+    }
+
+    long newestStarted(NodeId sidecar) {
+        return mNewestStarted.getOrDefault(sidecar, 0L);
+    }
+
     boolean granted(NodeId sidecar) {
         return mGrants.containsKey(sidecar);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/OwnershipController.java
@@ -2,11 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.EntryMessage.Release;
 import org.jackdawsaddle.internal.message.EntryMessage.RenewLease;
 import org.jackdawsaddle.internal.message.EntryMessage.Seal;
 import org.jackdawsaddle.internal.message.SidecarMessage.LeaseRenewed;
@@ -22,8 +21,6 @@
     private static final long SEAL_REPEAT_MILLIS = 200;
 
     private final EntryBoard mBoard;
-    private final Map<OwnedPartition, Long> mSealedLast = new HashMap<>();
-    private final Map<OwnedPartition, Long> mSealRepeatAt = new HashMap<>();
 
     OwnershipController(EntryBoard board) {
         mBoard = board;
@@ -49,8 +46,9 @@
             return true;
         }
         sidecar.mSealedEpoch = sealed.epoch();
+        partition.noteStarted(sidecar.node(), sealed.newestIdMillis());
         partition.mSealedAt.putIfAbsent(sidecar.node(), mBoard.mNow);
-        mSealedLast.put(partition, mBoard.mNow);
+        partition.mLastSealAt = mBoard.mNow;
         if (!partition.active()) {
             partition.mDoubtUntil = Math.max(partition.mDoubtUntil, sealed.newestIdMillis());
             partition.mNewestRenewal = Math.max(partition.mNewestRenewal, sealed.newestRenewal());
@@ -80,6 +78,7 @@
             if (mBoard.mNow >= partition.mRosterCheckAt) {
                 partition.mRosterCheckAt = mBoard.mNow + ROSTER_CHECK_MILLIS;
                 maintainRoster(partition);
+                releaseLeaving(partition);
                 partition.mRosterIncomplete = rosterIncomplete(partition);
             }
             renewIfDue(partition);
@@ -113,10 +112,10 @@
     }
 
     private void repeatSeals(OwnedPartition partition) {
-        if (mBoard.mNow < mSealRepeatAt.getOrDefault(partition, 0L)) {
+        if (mBoard.mNow < partition.mSealRepeatAt) {
             return;
         }
-        mSealRepeatAt.put(partition, mBoard.mNow + SEAL_REPEAT_MILLIS);
+        partition.mSealRepeatAt = mBoard.mNow + SEAL_REPEAT_MILLIS;
         begin(partition);
     }
 
@@ -136,7 +135,7 @@
         }
         boolean refusalsPossible = partition.mHadOwner && !members.isEmpty();
         long wait = refusalsPossible ? Timing.REFUSAL_LEASE_MILLIS : 0;
-        if (mBoard.mNow < mSealedLast.getOrDefault(partition, mBoard.mNow) + wait) {
+        if (mBoard.mNow < partition.mLastSealAt + wait) {
             return false;
         }
         activate(partition);
@@ -157,19 +156,15 @@
 
     /** Returns the newest timestamp of an id that may have been started on the member. */
     private long newestStart(OwnedPartition partition, RosterMember member) {
-        long sealed = partition.inUse().stream().filter(partition.mSealedAt::containsKey).count();
-        long byClock =
-                startsUntil(member) + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_HORIZON_MILLIS;
-        return sealed >= OwnedPartition.majority(partition.inUse())
-                ? Math.min(byClock, partition.mNewestRenewal + Timing.ID_HORIZON_MILLIS)
-                : byClock;
-    }
-
-    private long startsUntil(RosterMember member) {
         if (!member.inUse()) {
-            return member.unusedSince();
+            return member.newestIdMillis();
         }
-        return superseded(member.sidecar()) ? successorStart(member.sidecar()) : mBoard.mNow;
+        long sealed = partition.inUse().stream().filter(partition.mSealedAt::containsKey).count();
+        if (sealed >= OwnedPartition.majority(partition.inUse())) {
+            return partition.mNewestRenewal + Timing.ID_HORIZON_MILLIS;
+        }
+        long until = superseded(member.sidecar()) ? successorStart(member.sidecar()) : mBoard.mNow;
+        return until + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_HORIZON_MILLIS;
     }
 
     private boolean superseded(NodeId member) {
@@ -195,13 +190,13 @@
         }
         List<RosterMember> roster = new ArrayList<>();
         for (RosterMember member : partition.record().roster()) {
-            maintain(member).ifPresent(roster::add);
+            maintain(partition, member).ifPresent(roster::add);
         }
         for (SidecarView sidecar : mBoard.sidecarsOf(partition)) {
             boolean usable = sidecar.mConnected && sidecar.mSealedEpoch == partition.mEpoch;
-            if (usable && !partition.mayUse(sidecar.node())) {
+            if (usable && !sidecar.mHello.leaving() && !partition.mayUse(sidecar.node())) {
                 roster.removeIf(member -> member.sidecar().equals(sidecar.node()));
-                roster.add(new RosterMember(sidecar.node(), 0));
+                roster.add(RosterMember.used(sidecar.node()));
             }
         }
         if (!roster.equals(partition.record().roster())) {
@@ -210,21 +205,46 @@
     }
 
     /** Returns the member as it should stand in the roster, or empty if it can be dropped. */
-    private Optional<RosterMember> maintain(RosterMember member) {
+    private Optional<RosterMember> maintain(OwnedPartition partition, RosterMember member) {
         if (member.inUse()) {
-            long lostAt =
-                    mBoard.sidecar(member.sidecar())
-                            .map(view -> view.mConnected ? Long.MAX_VALUE : view.mDisconnectedAt)
-                            .orElse(0L);
-            boolean gone =
-                    superseded(member.sidecar())
-                            || lostAt < mBoard.mNow - Timing.ROSTER_GRACE_MILLIS;
-            return Optional.of(gone ? new RosterMember(member.sidecar(), mBoard.mNow) : member);
+            return Optional.of(
+                    abandoned(member.sidecar()) ? unused(partition, member.sidecar()) : member);
         }
         long memory = Timing.ID_LIFETIME_MILLIS + 2 * Timing.CLOCK_TOLERANCE_MILLIS;
         return mBoard.mNow > member.unusedSince() + memory ? Optional.empty() : Optional.of(member);
     }
 
+    /** Returns whether nothing is to be started on a member of the roster any more. */
+    private boolean abandoned(NodeId sidecar) {
+        Optional<SidecarView> view = mBoard.sidecar(sidecar);
+        boolean released = view.filter(SidecarView::doneLeaving).isPresent();
+        long lostAt =
+                view.map(lost -> lost.mConnected ? Long.MAX_VALUE : lost.mDisconnectedAt)
+                        .orElse(0L);
+        return released || superseded(sidecar) || lostAt < mBoard.mNow - Timing.ROSTER_GRACE_MILLIS;
+    }
+
+    private RosterMember unused(OwnedPartition partition, NodeId sidecar) {
+        long newestIdMillis =
+                partition.mSealedAt.containsKey(sidecar)
+                        ? partition.newestStarted(sidecar)
+                        : partition.mUnsealed.getOrDefault(sidecar, partition.mDoubtUntil);
+        return new RosterMember(sidecar, mBoard.mNow, newestIdMillis);
+    }
+
+    /** Lets the sidecars end that wait for it and are out of the roster. */
+    private void releaseLeaving(OwnedPartition partition) {
+        for (SidecarView sidecar : mBoard.sidecarsOf(partition)) {
+            boolean out =
+                    sidecar.mSealedEpoch == partition.mEpoch
+                            && !partition.inUse().contains(sidecar.node());
+            if (out && sidecar.doneLeaving()) {
+                mBoard.mOutbox.send(
+                        sidecar.node(), new Release(partition.mIndex, partition.mEpoch));
+            }
+        }
+    }
+
     private void renewIfDue(OwnedPartition partition) {
         boolean due = mBoard.mNow >= partition.mLastRound + Timing.LEASE_RENEWAL_MILLIS;
         boolean wanted =
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RosterMember.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RosterMember.java
@@ -8,8 +8,14 @@
  * @param sidecar the process
  * @param unusedSince the time in milliseconds since the epoch from which the owner starts nothing
  *     on it, or 0 while it is in use
+ * @param newestIdMillis the newest timestamp among the ids started on it, once it is not in use
  */
-public record RosterMember(NodeId sidecar, long unusedSince) {
+public record RosterMember(NodeId sidecar, long unusedSince, long newestIdMillis) {
+
+    /** Creates a member that is in use. */
+    static RosterMember used(NodeId sidecar) {
+        return new RosterMember(sidecar, 0, 0);
+    }
 
     /** Returns whether the owner may start tasks on it. */
     public boolean inUse() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
@@ -38,6 +38,11 @@
         return mSlotLimit > 0 ? Math.min(mSlotLimit, mHello.slots()) : mHello.slots();
     }
 
+    /** Returns whether the sidecar waits to end and runs nothing. */
+    boolean doneLeaving() {
+        return mConnected && mHello.leaving() && mRunning.isEmpty();
+    }
+
     /** Returns how many more tasks the target may be given at this time. */
     int freeSlots(long now) {
         int allowed = Math.min(slots(), mHealth.allowedTasks(now, slots()));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/RosterEditor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/RosterEditor.java
@@ -9,6 +9,7 @@
 import org.jackdawsaddle.internal.dispatch.RosterMember;
 import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.dispatch.StoreKeys;
+import org.jackdawsaddle.internal.dispatch.Timing;
 import org.jackdawsaddle.store.StoreClient;
 import org.jackdawsaddle.store.StoreValue;
 
@@ -79,6 +80,7 @@
 
     private static RosterMember forgotten(RosterMember member, String name, long now) {
         boolean wanted = member.inUse() && member.sidecar().name().equals(name);
-        return wanted ? new RosterMember(member.sidecar(), now) : member;
+        long newestIdMillis = now + Timing.CLOCK_TOLERANCE_MILLIS + Timing.ID_HORIZON_MILLIS;
+        return wanted ? new RosterMember(member.sidecar(), now, newestIdMillis) : member;
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/EntryMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/EntryMessage.java
@@ -56,6 +56,14 @@
      */
     record Seal(int partition, long epoch) implements EntryMessage {}
 
+    /**
+     * Tells a leaving sidecar that nothing depends on its memory any more.
+     *
+     * @param partition the index of the partition
+     * @param epoch the number of the ownership
+     */
+    record Release(int partition, long epoch) implements EntryMessage {}
+
     /**
      * Asks to confirm that no higher epoch has sealed the partition.
      *
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/SidecarMessage.java
@@ -20,6 +20,7 @@
      * @param serving whether the target takes new work
      * @param startedAt the sidecar's start, in milliseconds since the epoch
      * @param revision the configuration that the sidecar applies
+     * @param leaving whether the process waits to be released so that it can end
      */
     record SidecarHello(
             NodeId sidecar,
@@ -31,7 +32,8 @@
             Demand capacity,
             boolean serving,
             long startedAt,
-            long revision)
+            long revision,
+            boolean leaving)
             implements SidecarMessage {}
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SealedPartition.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SealedPartition.java
@@ -8,6 +8,7 @@
     NodeId mOwner;
     long mNewestIdMillis;
     long mNewestRenewal;
+    boolean mReleased;
 
     /** Takes a seal if no later owner has sealed; returns whether the sender is the owner now. */
     boolean seal(long epoch, NodeId owner) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarCore.java
@@ -97,9 +97,11 @@
         return mCounts[counter.ordinal()];
     }
 
-    /** Returns whether a shutdown would cut off no task. */
+    /** Returns whether a shutdown would cut off no task, and lose nothing that owners rely on. */
     public boolean idle() {
-        return mRunning.isEmpty();
+        return mRunning.isEmpty()
+                && mPartitions.values().stream()
+                        .allMatch(partition -> partition.mReleased || partition.mEpoch == 0);
     }
 
     /** Returns whether the target takes new work. */
@@ -173,7 +175,8 @@
                 target.capacity(),
                 serving(),
                 mStartedAt,
-                mRevision);
+                mRevision,
+                mLeaving);
     }
 
     private void onEntrySent(NodeId entry, EntryMessage message) {
@@ -182,6 +185,7 @@
                     start.tasks().forEach(task -> onStart(entry, start, task));
             case EntryMessage.StopTasks stop -> onStop(entry, stop);
             case EntryMessage.Seal seal -> onSeal(entry, seal);
+            case EntryMessage.Release release -> onRelease(release);
             case EntryMessage.RenewLease renew -> onRenew(entry, renew);
             case EntryMessage.Inquiry inquiry -> onInquiry(entry, inquiry);
             case EntryMessage.TargetConfiguration configuration ->
@@ -204,6 +208,11 @@
                         partition.mNewestRenewal));
     }
 
+    private void onRelease(EntryMessage.Release release) {
+        SealedPartition partition = partition(release.partition());
+        partition.mReleased |= release.epoch() == partition.mEpoch;
+    }
+
     private void onRenew(NodeId entry, EntryMessage.RenewLease renew) {
         SealedPartition partition = partition(renew.partition());
         if (renew.epoch() == partition.mEpoch) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/EntryWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/EntryWire.java
@@ -2,6 +2,7 @@
 
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.EntryMessage.Inquiry;
+import org.jackdawsaddle.internal.message.EntryMessage.Release;
 import org.jackdawsaddle.internal.message.EntryMessage.RenewLease;
 import org.jackdawsaddle.internal.message.EntryMessage.Seal;
 import org.jackdawsaddle.internal.message.EntryMessage.StartTasks;
@@ -34,6 +35,10 @@
                             .addAllTasks(stop.tasks().stream().map(WireMapper::encode).toList());
             case Seal seal ->
                     envelope.getSealBuilder().setPartition(seal.partition()).setEpoch(seal.epoch());
+            case Release release ->
+                    envelope.getReleaseBuilder()
+                            .setPartition(release.partition())
+                            .setEpoch(release.epoch());
             case RenewLease renew ->
                     envelope.getRenewLeaseBuilder()
                             .setPartition(renew.partition())
@@ -77,6 +82,9 @@
                         stop.getTasksList().stream().map(WireMapper::decode).toList());
             }
             case SEAL -> new Seal(envelope.getSeal().getPartition(), envelope.getSeal().getEpoch());
+            case RELEASE ->
+                    new Release(
+                            envelope.getRelease().getPartition(), envelope.getRelease().getEpoch());
             case RENEW_LEASE -> {
                 Wire.RenewLease renew = envelope.getRenewLease();
                 yield new RenewLease(renew.getPartition(), renew.getEpoch(), renew.getSentAt());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/SidecarWire.java
@@ -55,6 +55,7 @@
                 .setServing(hello.serving())
                 .setStartedAt(hello.startedAt())
                 .setRevision(hello.revision())
+                .setLeaving(hello.leaving())
                 .build();
     }
 
@@ -101,6 +102,7 @@
                 WireMapper.decode(hello.getCapacity()),
                 hello.getServing(),
                 hello.getStartedAt(),
-                hello.getRevision());
+                hello.getRevision(),
+                hello.getLeaving());
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireMapper.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireMapper.java
@@ -51,6 +51,7 @@
                     START_TASKS,
                     STOP_TASKS,
                     SEAL,
+                    RELEASE,
                     RENEW_LEASE,
                     INQUIRY,
                     TARGET_CONFIGURATION ->
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -375,6 +375,21 @@
      */
     org.jackdawsaddle.internal.wire.proto.Wire.StatusAnswerOrBuilder getStatusAnswerOrBuilder();
 
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     * @return Whether the release field is set.
+     */
+    boolean hasRelease();
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     * @return The release.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.Release getRelease();
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder getReleaseOrBuilder();
+
     org.jackdawsaddle.internal.wire.proto.Wire.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -448,6 +463,7 @@
       CONFIGURATION_PUSH(22),
       STATUS_QUERY(23),
       STATUS_ANSWER(24),
+      RELEASE(25),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -488,6 +504,7 @@
           case 22: return CONFIGURATION_PUSH;
           case 23: return STATUS_QUERY;
           case 24: return STATUS_ANSWER;
+          case 25: return RELEASE;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1216,6 +1233,37 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.StatusAnswer.getDefaultInstance();
     }
 
+    public static final int RELEASE_FIELD_NUMBER = 25;
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     * @return Whether the release field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelease() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     * @return The release.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.Release getRelease() {
+      if (bodyCase_ == 25) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder getReleaseOrBuilder() {
+      if (bodyCase_ == 25) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1299,6 +1347,9 @@
       if (bodyCase_ == 24) {
         output.writeMessage(24, (org.jackdawsaddle.internal.wire.proto.Wire.StatusAnswer) body_);
       }
+      if (bodyCase_ == 25) {
+        output.writeMessage(25, (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1395,6 +1446,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(24, (org.jackdawsaddle.internal.wire.proto.Wire.StatusAnswer) body_);
       }
+      if (bodyCase_ == 25) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(25, (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1513,6 +1568,10 @@
           if (!getStatusAnswer()
               .equals(other.getStatusAnswer())) return false;
           break;
+        case 25:
+          if (!getRelease()
+              .equals(other.getRelease())) return false;
+          break;
         case 0:
         default:
       }
@@ -1620,6 +1679,10 @@
           hash = (37 * hash) + STATUS_ANSWER_FIELD_NUMBER;
           hash = (53 * hash) + getStatusAnswer().hashCode();
           break;
+        case 25:
+          hash = (37 * hash) + RELEASE_FIELD_NUMBER;
+          hash = (53 * hash) + getRelease().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1823,6 +1886,9 @@
         if (statusAnswerBuilder_ != null) {
           statusAnswerBuilder_.clear();
         }
+        if (releaseBuilder_ != null) {
+          releaseBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1956,6 +2022,10 @@
             statusAnswerBuilder_ != null) {
           result.body_ = statusAnswerBuilder_.build();
         }
+        if (bodyCase_ == 25 &&
+            releaseBuilder_ != null) {
+          result.body_ = releaseBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -2063,6 +2133,10 @@
             mergeStatusAnswer(other.getStatusAnswer());
             break;
           }
+          case RELEASE: {
+            mergeRelease(other.getRelease());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -2252,6 +2326,13 @@
                 bodyCase_ = 24;
                 break;
               } // case 194
+              case 202: {
+                input.readMessage(
+                    internalGetReleaseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 25;
+                break;
+              } // case 202
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5504,6 +5585,146 @@
         return statusAnswerBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.Release, org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder, org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder> releaseBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       * @return Whether the release field is set.
+       */
+      @java.lang.Override
+      public boolean hasRelease() {
+        return bodyCase_ == 25;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       * @return The release.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.Release getRelease() {
+        if (releaseBuilder_ == null) {
+          if (bodyCase_ == 25) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 25) {
+            return releaseBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      public Builder setRelease(org.jackdawsaddle.internal.wire.proto.Wire.Release value) {
+        if (releaseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          releaseBuilder_.setMessage(value);
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      public Builder setRelease(
+          org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder builderForValue) {
+        if (releaseBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          releaseBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      public Builder mergeRelease(org.jackdawsaddle.internal.wire.proto.Wire.Release value) {
+        if (releaseBuilder_ == null) {
+          if (bodyCase_ == 25 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Release.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.Release) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 25) {
+            releaseBuilder_.mergeFrom(value);
+          } else {
+            releaseBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      public Builder clearRelease() {
+        if (releaseBuilder_ == null) {
+          if (bodyCase_ == 25) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 25) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          releaseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder getReleaseBuilder() {
+        return internalGetReleaseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder getReleaseOrBuilder() {
+        if ((bodyCase_ == 25) && (releaseBuilder_ != null)) {
+          return releaseBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 25) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Release release = 25;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.Release, org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder, org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder> 
+          internalGetReleaseFieldBuilder() {
+        if (releaseBuilder_ == null) {
+          if (!(bodyCase_ == 25)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
+          }
+          releaseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.Release, org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder, org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.Release) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 25;
+        onChanged();
+        return releaseBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Envelope)
     }
 
@@ -7934,6 +8155,12 @@
      * @return The revision.
      */
     long getRevision();
+
+    /**
+     * <code>bool leaving = 11;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.SidecarHello}
@@ -8205,6 +8432,17 @@
       return revision_;
     }
 
+    public static final int LEAVING_FIELD_NUMBER = 11;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 11;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8249,6 +8487,9 @@
       if (revision_ != 0L) {
         output.writeUInt64(10, revision_);
       }
+      if (leaving_ != false) {
+        output.writeBool(11, leaving_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -8290,6 +8531,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(10, revision_);
       }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(11, leaving_);
+      }
       return size;
     }
     @java.lang.Override
@@ -8340,6 +8585,8 @@
           != other.getStartedAt()) return false;
       if (getRevision()
           != other.getRevision()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8378,6 +8625,9 @@
       hash = (37 * hash) + REVISION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRevision());
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -8534,6 +8784,7 @@
         serving_ = false;
         startedAt_ = 0L;
         revision_ = 0L;
+        leaving_ = false;
         return this;
       }
 
@@ -8604,6 +8855,9 @@
         if (((from_bitField0_ & 0x00000200) != 0)) {
           result.revision_ = revision_;
         }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.leaving_ = leaving_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -8655,6 +8909,9 @@
         if (other.getRevision() != 0L) {
           setRevision(other.getRevision());
         }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -8733,6 +8990,11 @@
                 bitField0_ |= 0x00000200;
                 break;
               } // case 80
+              case 88: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9364,6 +9626,38 @@
         return this;
       }
 
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 11;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 11;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.SidecarHello)
     }
 
@@ -15909,8 +16203,8 @@
 
   }
 
-  public interface RenewLeaseOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.RenewLease)
+  public interface ReleaseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.Release)
       com.google.protobuf.MessageOrBuilder {
 
     /**
@@ -15924,20 +16218,14 @@
      * @return The epoch.
      */
     long getEpoch();
-
-    /**
-     * <code>uint64 sent_at = 3;</code>
-     * @return The sentAt.
-     */
-    long getSentAt();
   }
   /**
-   * Protobuf type {@code org.jackdawsaddle.wire.RenewLease}
+   * Protobuf type {@code org.jackdawsaddle.wire.Release}
    */
-  public static final class RenewLease extends
+  public static final class Release extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.RenewLease)
-      RenewLeaseOrBuilder {
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.Release)
+      ReleaseOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -15946,31 +16234,31 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "RenewLease");
+        "Release");
     }
-    // Use RenewLease.newBuilder() to construct.
-    private RenewLease(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use Release.newBuilder() to construct.
+    private Release(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private RenewLease() {
+    private Release() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.class, org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.Builder.class);
+              org.jackdawsaddle.internal.wire.proto.Wire.Release.class, org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder.class);
     }
 
     public static final int PARTITION_FIELD_NUMBER = 1;
@@ -15995,17 +16283,6 @@
       return epoch_;
     }
 
-    public static final int SENT_AT_FIELD_NUMBER = 3;
-    private long sentAt_ = 0L;
-    /**
-     * <code>uint64 sent_at = 3;</code>
-     * @return The sentAt.
-     */
-    @java.lang.Override
-    public long getSentAt() {
-      return sentAt_;
-    }
-
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -16026,9 +16303,6 @@
       if (epoch_ != 0L) {
         output.writeUInt64(2, epoch_);
       }
-      if (sentAt_ != 0L) {
-        output.writeUInt64(3, sentAt_);
-      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -16041,10 +16315,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(2, epoch_);
       }
-      if (sentAt_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, sentAt_);
-      }
       return size;
     }
     @java.lang.Override
@@ -16064,17 +16334,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.RenewLease)) {
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.Release)) {
         return super.equals(obj);
       }
-      org.jackdawsaddle.internal.wire.proto.Wire.RenewLease other = (org.jackdawsaddle.internal.wire.proto.Wire.RenewLease) obj;
+      org.jackdawsaddle.internal.wire.proto.Wire.Release other = (org.jackdawsaddle.internal.wire.proto.Wire.Release) obj;
 
       if (getPartition()
           != other.getPartition()) return false;
       if (getEpoch()
           != other.getEpoch()) return false;
-      if (getSentAt()
-          != other.getSentAt()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -16091,52 +16359,49 @@
       hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEpoch());
-      hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSentAt());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(byte[] data)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -16144,26 +16409,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseDelimitedFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseDelimitedFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -16176,7 +16441,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease prototype) {
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.Release prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -16192,26 +16457,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code org.jackdawsaddle.wire.RenewLease}
+     * Protobuf type {@code org.jackdawsaddle.wire.Release}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.RenewLease)
-        org.jackdawsaddle.internal.wire.proto.Wire.RenewLeaseOrBuilder {
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.Release)
+        org.jackdawsaddle.internal.wire.proto.Wire.ReleaseOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.class, org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.Builder.class);
+                org.jackdawsaddle.internal.wire.proto.Wire.Release.class, org.jackdawsaddle.internal.wire.proto.Wire.Release.Builder.class);
       }
 
-      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.newBuilder()
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.Release.newBuilder()
       private Builder() {
 
       }
@@ -16227,24 +16492,23 @@
         bitField0_ = 0;
         partition_ = 0;
         epoch_ = 0L;
-        sentAt_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_Release_descriptor;
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease getDefaultInstanceForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.getDefaultInstance();
+      public org.jackdawsaddle.internal.wire.proto.Wire.Release getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease build() {
-        org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result = buildPartial();
+      public org.jackdawsaddle.internal.wire.proto.Wire.Release build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.Release result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -16252,14 +16516,14 @@
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease buildPartial() {
-        org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result = new org.jackdawsaddle.internal.wire.proto.Wire.RenewLease(this);
+      public org.jackdawsaddle.internal.wire.proto.Wire.Release buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.Release result = new org.jackdawsaddle.internal.wire.proto.Wire.Release(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result) {
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.Release result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.partition_ = partition_;
@@ -16267,32 +16531,26 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.epoch_ = epoch_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.sentAt_ = sentAt_;
-        }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.RenewLease) {
-          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.RenewLease)other);
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.Release) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.Release)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease other) {
-        if (other == org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.Release other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.Release.getDefaultInstance()) return this;
         if (other.getPartition() != 0) {
           setPartition(other.getPartition());
         }
         if (other.getEpoch() != 0L) {
           setEpoch(other.getEpoch());
         }
-        if (other.getSentAt() != 0L) {
-          setSentAt(other.getSentAt());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -16327,11 +16585,6 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
-              case 24: {
-                sentAt_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -16413,29 +16666,584 @@
         return this;
       }
 
-      private long sentAt_ ;
-      /**
-       * <code>uint64 sent_at = 3;</code>
-       * @return The sentAt.
-       */
-      @java.lang.Override
-      public long getSentAt() {
-        return sentAt_;
-      }
-      /**
-       * <code>uint64 sent_at = 3;</code>
-       * @param value The sentAt to set.
-       * @return This builder for chaining.
-       */
-      public Builder setSentAt(long value) {
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Release)
+    }
 
-        sentAt_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 sent_at = 3;</code>
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.Release)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.Release DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.Release();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.Release getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Release>
+        PARSER = new com.google.protobuf.AbstractParser<Release>() {
+      @java.lang.Override
+      public Release parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Release> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Release> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.Release getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RenewLeaseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.RenewLease)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint32 partition = 1;</code>
+     * @return The partition.
+     */
+    int getPartition();
+
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    long getEpoch();
+
+    /**
+     * <code>uint64 sent_at = 3;</code>
+     * @return The sentAt.
+     */
+    long getSentAt();
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.RenewLease}
+   */
+  public static final class RenewLease extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.RenewLease)
+      RenewLeaseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RenewLease");
+    }
+    // Use RenewLease.newBuilder() to construct.
+    private RenewLease(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RenewLease() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.class, org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.Builder.class);
+    }
+
+    public static final int PARTITION_FIELD_NUMBER = 1;
+    private int partition_ = 0;
+    /**
+     * <code>uint32 partition = 1;</code>
+     * @return The partition.
+     */
+    @java.lang.Override
+    public int getPartition() {
+      return partition_;
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 2;
+    private long epoch_ = 0L;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int SENT_AT_FIELD_NUMBER = 3;
+    private long sentAt_ = 0L;
+    /**
+     * <code>uint64 sent_at = 3;</code>
+     * @return The sentAt.
+     */
+    @java.lang.Override
+    public long getSentAt() {
+      return sentAt_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (partition_ != 0) {
+        output.writeUInt32(1, partition_);
+      }
+      if (epoch_ != 0L) {
+        output.writeUInt64(2, epoch_);
+      }
+      if (sentAt_ != 0L) {
+        output.writeUInt64(3, sentAt_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (partition_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, partition_);
+      }
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, epoch_);
+      }
+      if (sentAt_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sentAt_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.RenewLease)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.RenewLease other = (org.jackdawsaddle.internal.wire.proto.Wire.RenewLease) obj;
+
+      if (getPartition()
+          != other.getPartition()) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (getSentAt()
+          != other.getSentAt()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PARTITION_FIELD_NUMBER;
+      hash = (53 * hash) + getPartition();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEpoch());
+      hash = (37 * hash) + SENT_AT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSentAt());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.RenewLease parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.RenewLease}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.RenewLease)
+        org.jackdawsaddle.internal.wire.proto.Wire.RenewLeaseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.class, org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        partition_ = 0;
+        epoch_ = 0L;
+        sentAt_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.RenewLease buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result = new org.jackdawsaddle.internal.wire.proto.Wire.RenewLease(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.partition_ = partition_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.epoch_ = epoch_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sentAt_ = sentAt_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.RenewLease) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.RenewLease)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.RenewLease other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.RenewLease.getDefaultInstance()) return this;
+        if (other.getPartition() != 0) {
+          setPartition(other.getPartition());
+        }
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
+        }
+        if (other.getSentAt() != 0L) {
+          setSentAt(other.getSentAt());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                partition_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                epoch_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                sentAt_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int partition_ ;
+      /**
+       * <code>uint32 partition = 1;</code>
+       * @return The partition.
+       */
+      @java.lang.Override
+      public int getPartition() {
+        return partition_;
+      }
+      /**
+       * <code>uint32 partition = 1;</code>
+       * @param value The partition to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPartition(int value) {
+
+        partition_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 partition = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPartition() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        partition_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 epoch = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sentAt_ ;
+      /**
+       * <code>uint64 sent_at = 3;</code>
+       * @return The sentAt.
+       */
+      @java.lang.Override
+      public long getSentAt() {
+        return sentAt_;
+      }
+      /**
+       * <code>uint64 sent_at = 3;</code>
+       * @param value The sentAt to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSentAt(long value) {
+
+        sentAt_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sent_at = 3;</code>
        * @return This builder for chaining.
        */
       public Builder clearSentAt() {
@@ -28714,6 +29522,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_Sealed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_Release_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_Release_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_RenewLease_descriptor;
   private static final 
@@ -28818,7 +29631,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\364\n\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\250\013\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -28853,75 +29666,78 @@
       "ire.ConfigurationPushH\000\022;\n\014status_query\030" +
       "\027 \001(\0132#.org.jackdawsaddle.wire.StatusQue" +
       "ryH\000\022=\n\rstatus_answer\030\030 \001(\0132$.org.jackda" +
-      "wsaddle.wire.StatusAnswerH\000B\006\n\004body\"+\n\006N" +
-      "odeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006" +
-      "\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id" +
-      "_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016" +
-      "\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022" +
-      "\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes\030\002 \001(\004" +
-      "\022\024\n\014accelerators\030\003 \001(\r\"\202\002\n\014SidecarHello\022" +
-      "/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wir" +
-      "e.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001(" +
-      "\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n" +
-      "\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.o" +
-      "rg.jackdawsaddle.wire.Demand\022\017\n\007serving\030" +
-      "\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revision\030\n " +
-      "\001(\004\"Q\n\007Welcome\022-\n\005entry\030\001 \001(\0132\036.org.jack" +
-      "dawsaddle.wire.NodeId\022\027\n\017entry_addresses" +
-      "\030\002 \003(\t\"\243\001\n\tStartTask\022-\n\004task\030\001 \001(\0132\037.org" +
-      ".jackdawsaddle.wire.TaskKey\022\014\n\004kind\030\002 \001(" +
-      "\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaining_millis\030\004" +
-      " \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.jackdawsaddle" +
-      ".wire.Demand\"`\n\nStartTasks\022\021\n\tpartition\030" +
-      "\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\0220\n\005tasks\030\003 \003(\0132!.or" +
-      "g.jackdawsaddle.wire.StartTask\"}\n\nTaskRe" +
-      "sult\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.w" +
-      "ire.TaskKey\022\r\n\005state\030\002 \001(\r\022\014\n\004body\030\003 \001(\014" +
-      "\022\017\n\007refusal\030\004 \001(\r\022\022\n\nrun_micros\030\005 \001(\004\"U\n" +
-      "\013TaskResults\022\021\n\tpartition\030\001 \001(\r\0223\n\007resul" +
-      "ts\030\002 \003(\0132\".org.jackdawsaddle.wire.TaskRe" +
-      "sult\"]\n\tStopTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005" +
-      "epoch\030\002 \001(\004\022.\n\005tasks\030\003 \003(\0132\037.org.jackdaw" +
-      "saddle.wire.TaskKey\"(\n\004Seal\022\021\n\tpartition" +
-      "\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"\\\n\006Sealed\022\021\n\tparti" +
-      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\030\n\020newest_id_m" +
-      "illis\030\003 \001(\004\022\026\n\016newest_renewal\030\004 \001(\004\"?\n\nR" +
-      "enewLease\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\022\017\n\007sent_at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\t" +
-      "partition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_a" +
-      "t\030\003 \001(\004\"w\n\007Inquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
-      "\005epoch\030\002 \001(\004\022\016\n\006number\030\003 \001(\004\022:\n\013submissi" +
-      "ons\030\004 \003(\0132%.org.jackdawsaddle.wire.Submi" +
-      "ssionKey\"e\n\rInquiryAnswer\022\021\n\tpartition\030\001" +
-      " \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".or" +
-      "g.jackdawsaddle.wire.TaskResult\"G\n\023Targe" +
-      "tConfiguration\022\020\n\010revision\030\001 \001(\004\022\017\n\007drai" +
-      "ned\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024Configuratio" +
-      "nApplied\022\020\n\010revision\030\001 \001(\004\"L\n\tPeerHello\022" +
-      "-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
-      "NodeId\022\020\n\010revision\030\002 \001(\004\"7\n\013TaskRequest\022" +
-      "\017\n\007payload\030\001 \001(\014\022\027\n\017expected_millis\030\002 \001(" +
-      "\004\"\227\001\n\nJobRequest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_" +
-      "low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n" +
-      "\020remaining_millis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#" +
-      ".org.jackdawsaddle.wire.TaskRequest\"O\n\tS" +
-      "ubmitJob\022\r\n\005token\030\001 \001(\004\0223\n\007request\030\002 \001(\013" +
-      "2\".org.jackdawsaddle.wire.JobRequest\"o\n\t" +
-      "JobAnswer\022\017\n\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t" +
-      "\022\016\n\006detail\030\003 \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tas" +
-      "ks_ended\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnsw" +
-      "ered\022\r\n\005token\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.or" +
-      "g.jackdawsaddle.wire.JobAnswer\"K\n\010QueryJ" +
-      "ob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id" +
-      "_low\030\003 \001(\006\022\017\n\007service\030\004 \001(\t\"=\n\tCancelJob" +
-      "\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007ser" +
-      "vice\030\003 \001(\t\"\031\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n" +
-      "\tHeartbeat\022\020\n\010revision\030\001 \001(\004\"3\n\021Configur" +
-      "ationPush\022\020\n\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(" +
-      "\t\"\034\n\013StatusQuery\022\r\n\005token\030\001 \001(\004\"-\n\014Statu" +
-      "sAnswer\022\r\n\005token\030\001 \001(\004\022\016\n\006status\030\002 \001(\tB-" +
-      "\n%org.jackdawsaddle.internal.wire.protoB" +
-      "\004Wireb\006proto3"
+      "wsaddle.wire.StatusAnswerH\000\0222\n\007release\030\031" +
+      " \001(\0132\037.org.jackdawsaddle.wire.ReleaseH\000B" +
+      "\006\n\004body\"+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high" +
+      "\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_" +
+      "high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(" +
+      "\r\"G\n\006Demand\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_meg" +
+      "abytes\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014S" +
+      "idecarHello\022/\n\007sidecar\030\001 \001(\0132\036.org.jackd" +
+      "awsaddle.wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007" +
+      "service\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005sl" +
+      "ots\030\005 \001(\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capaci" +
+      "ty\030\007 \001(\0132\036.org.jackdawsaddle.wire.Demand" +
+      "\022\017\n\007serving\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n" +
+      "\010revision\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welc" +
+      "ome\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.w" +
+      "ire.NodeId\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\t" +
+      "StartTask\022-\n\004task\030\001 \001(\0132\037.org.jackdawsad" +
+      "dle.wire.TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payloa" +
+      "d\030\003 \001(\014\022\030\n\020remaining_millis\030\004 \001(\004\022.\n\006dem" +
+      "and\030\005 \001(\0132\036.org.jackdawsaddle.wire.Deman" +
+      "d\"`\n\nStartTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005ep" +
+      "och\030\002 \001(\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsa" +
+      "ddle.wire.StartTask\"}\n\nTaskResult\022-\n\004tas" +
+      "k\030\001 \001(\0132\037.org.jackdawsaddle.wire.TaskKey" +
+      "\022\r\n\005state\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal" +
+      "\030\004 \001(\r\022\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResult" +
+      "s\022\021\n\tpartition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\"." +
+      "org.jackdawsaddle.wire.TaskResult\"]\n\tSto" +
+      "pTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022.\n\005tasks\030\003 \003(\0132\037.org.jackdawsaddle.wire" +
+      ".TaskKey\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005e" +
+      "poch\030\002 \001(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022" +
+      "\r\n\005epoch\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004" +
+      "\022\026\n\016newest_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tp" +
+      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLe" +
+      "ase\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n" +
+      "\007sent_at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartit" +
+      "ion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(" +
+      "\004\"w\n\007Inquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch" +
+      "\030\002 \001(\004\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 " +
+      "\003(\0132%.org.jackdawsaddle.wire.SubmissionK" +
+      "ey\"e\n\rInquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016" +
+      "\n\006number\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jack" +
+      "dawsaddle.wire.TaskResult\"G\n\023TargetConfi" +
+      "guration\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 " +
+      "\001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024ConfigurationAppli" +
+      "ed\022\020\n\010revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005ent" +
+      "ry\030\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId" +
+      "\022\020\n\010revision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007pay" +
+      "load\030\001 \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\n" +
+      "JobRequest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 " +
+      "\001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remai" +
+      "ning_millis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.j" +
+      "ackdawsaddle.wire.TaskRequest\"O\n\tSubmitJ" +
+      "ob\022\r\n\005token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org" +
+      ".jackdawsaddle.wire.JobRequest\"o\n\tJobAns" +
+      "wer\022\017\n\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006de" +
+      "tail\030\003 \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_end" +
+      "ed\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r" +
+      "\n\005token\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jack" +
+      "dawsaddle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005" +
+      "token\030\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003" +
+      " \001(\006\022\017\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id" +
+      "_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003" +
+      " \001(\t\"\031\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeart" +
+      "beat\022\020\n\010revision\030\001 \001(\004\"3\n\021ConfigurationP" +
+      "ush\022\020\n\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013S" +
+      "tatusQuery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswe" +
+      "r\022\r\n\005token\030\001 \001(\004\022\016\n\006status\030\002 \001(\tB-\n%org." +
+      "jackdawsaddle.internal.wire.protoB\004Wireb" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -28932,7 +29748,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -28962,7 +29778,7 @@
     internal_static_org_jackdawsaddle_wire_SidecarHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_SidecarHello_descriptor,
-        new java.lang.String[] { "Sidecar", "Target", "Service", "DataCentre", "Slots", "Connections", "Capacity", "Serving", "StartedAt", "Revision", });
+        new java.lang.String[] { "Sidecar", "Target", "Service", "DataCentre", "Slots", "Connections", "Capacity", "Serving", "StartedAt", "Revision", "Leaving", });
     internal_static_org_jackdawsaddle_wire_Welcome_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_org_jackdawsaddle_wire_Welcome_fieldAccessorTable = new
@@ -29011,116 +29827,122 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Sealed_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "NewestIdMillis", "NewestRenewal", });
-    internal_static_org_jackdawsaddle_wire_RenewLease_descriptor =
+    internal_static_org_jackdawsaddle_wire_Release_descriptor =
       getDescriptor().getMessageType(14);
+    internal_static_org_jackdawsaddle_wire_Release_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_Release_descriptor,
+        new java.lang.String[] { "Partition", "Epoch", });
+    internal_static_org_jackdawsaddle_wire_RenewLease_descriptor =
+      getDescriptor().getMessageType(15);
     internal_static_org_jackdawsaddle_wire_RenewLease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_RenewLease_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "SentAt", });
     internal_static_org_jackdawsaddle_wire_LeaseRenewed_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_org_jackdawsaddle_wire_LeaseRenewed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_LeaseRenewed_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "SentAt", });
     internal_static_org_jackdawsaddle_wire_Inquiry_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_org_jackdawsaddle_wire_Inquiry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Inquiry_descriptor,
         new java.lang.String[] { "Partition", "Epoch", "Number", "Submissions", });
     internal_static_org_jackdawsaddle_wire_InquiryAnswer_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_org_jackdawsaddle_wire_InquiryAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_InquiryAnswer_descriptor,
         new java.lang.String[] { "Partition", "Number", "Known", });
     internal_static_org_jackdawsaddle_wire_TargetConfiguration_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_org_jackdawsaddle_wire_TargetConfiguration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_TargetConfiguration_descriptor,
         new java.lang.String[] { "Revision", "Drained", "Slots", });
     internal_static_org_jackdawsaddle_wire_ConfigurationApplied_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_org_jackdawsaddle_wire_ConfigurationApplied_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_ConfigurationApplied_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_org_jackdawsaddle_wire_PeerHello_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_org_jackdawsaddle_wire_PeerHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PeerHello_descriptor,
         new java.lang.String[] { "Entry", "Revision", });
     internal_static_org_jackdawsaddle_wire_TaskRequest_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_org_jackdawsaddle_wire_TaskRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_TaskRequest_descriptor,
         new java.lang.String[] { "Payload", "ExpectedMillis", });
     internal_static_org_jackdawsaddle_wire_JobRequest_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_org_jackdawsaddle_wire_JobRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_JobRequest_descriptor,
         new java.lang.String[] { "IdHigh", "IdLow", "Team", "Kind", "RemainingMillis", "Tasks", });
     internal_static_org_jackdawsaddle_wire_SubmitJob_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_org_jackdawsaddle_wire_SubmitJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_SubmitJob_descriptor,
         new java.lang.String[] { "Token", "Request", });
     internal_static_org_jackdawsaddle_wire_JobAnswer_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_org_jackdawsaddle_wire_JobAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_JobAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Code", "Detail", "Answers", "TasksEnded", "Tasks", });
     internal_static_org_jackdawsaddle_wire_JobAnswered_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_org_jackdawsaddle_wire_JobAnswered_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_JobAnswered_descriptor,
         new java.lang.String[] { "Token", "Answer", });
     internal_static_org_jackdawsaddle_wire_QueryJob_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_org_jackdawsaddle_wire_QueryJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_QueryJob_descriptor,
         new java.lang.String[] { "Token", "IdHigh", "IdLow", "Service", });
     internal_static_org_jackdawsaddle_wire_CancelJob_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_org_jackdawsaddle_wire_CancelJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_CancelJob_descriptor,
         new java.lang.String[] { "IdHigh", "IdLow", "Service", });
     internal_static_org_jackdawsaddle_wire_JobMoved_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_org_jackdawsaddle_wire_JobMoved_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_JobMoved_descriptor,
         new java.lang.String[] { "Token", });
     internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_org_jackdawsaddle_wire_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Heartbeat_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_org_jackdawsaddle_wire_ConfigurationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_ConfigurationPush_descriptor,
         new java.lang.String[] { "Revision", "Head", });
     internal_static_org_jackdawsaddle_wire_StatusQuery_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_org_jackdawsaddle_wire_StatusQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_StatusQuery_descriptor,
         new java.lang.String[] { "Token", });
     internal_static_org_jackdawsaddle_wire_StatusAnswer_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_org_jackdawsaddle_wire_StatusAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_StatusAnswer_descriptor,
