Commit the stand-in target, and move JSON out of the decisions

Cause: the ignore rule for Maven's target folders also hid the package of the stand-in target, so a fresh clone did not build; seen when a rename passed it by.

StoreJson, used by HTTP, the wire and the command line, becomes Json beside StrictJson; ClosedLoad, which keeps a steady rate, SteadyLoad.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/AdminClient.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/AdminClient.java
@@ -9,10 +9,10 @@
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
 import org.jackdawsaddle.internal.dispatch.EntryStatus;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
 import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import picocli.CommandLine.Option;
 
@@ -38,13 +38,13 @@
     /** Returns the published configuration with its audit trail. */
     ConfigurationHead configuration() {
         String body = expect(call("GET", "/admin/v1/configuration", "")).body();
-        return StoreJson.read(body, ConfigurationHead.class);
+        return Json.read(body, ConfigurationHead.class);
     }
 
     /** Returns the status of all entries that answer. */
     List<EntryStatus> status() {
         String body = expect(call("GET", "/admin/v1/status", "")).body();
-        return Arrays.asList(StoreJson.read(body, EntryStatus[].class));
+        return Arrays.asList(Json.read(body, EntryStatus[].class));
     }
 
     /**
@@ -56,7 +56,7 @@
         if (answer.succeeded()) {
             return answer;
         }
-        JsonNode body = StoreJson.read(answer.body(), JsonNode.class);
+        JsonNode body = Json.read(answer.body(), JsonNode.class);
         ErrorCode code = ErrorCode.of(body.path("code").asText());
         JsonNode findings = body.path("findings");
         String detail = findings.isMissingNode() ? body.path("detail").asText() : "" + findings;
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/AdminCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/AdminCommand.java
@@ -3,7 +3,7 @@
 import java.io.PrintWriter;
 import java.util.List;
 import java.util.concurrent.Callable;
-import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.json.StrictJson;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -29,7 +29,7 @@
     /** Prints the value as JSON if that is wanted, and the lines otherwise. */
     void print(Object value, List<String> lines) {
         if (mJson) {
-            out().println(JsonBody.pretty(value));
+            out().println(StrictJson.pretty(value));
         } else {
             lines.forEach(out()::println);
         }
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/CheckCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/CheckCommand.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.Callable;
 import org.jackdawsaddle.config.ConfigurationReader;
 import org.jackdawsaddle.config.Finding;
-import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.json.StrictJson;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -34,7 +34,7 @@
         List<Finding> findings = reader.findings();
         PrintWriter out = mSpec.commandLine().getOut();
         if (mJson) {
-            out.println(JsonBody.pretty(findings));
+            out.println(StrictJson.pretty(findings));
         } else {
             findings.forEach(finding -> out.println(finding.line()));
             out.println(findings.size() + " findings");
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/MeasureCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/MeasureCommand.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
-import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.json.StrictJson;
 import org.jackdawsaddle.standin.fleet.Deployment;
 import org.jackdawsaddle.standin.load.Measurement;
 import org.jackdawsaddle.standin.load.Policy;
@@ -100,7 +100,7 @@
         results.forEach(result -> rows.add(row(results.getFirst(), result)));
         print(rows);
         if (mJson != null) {
-            Files.writeString(mJson, JsonBody.pretty(rows) + "\n");
+            Files.writeString(mJson, StrictJson.pretty(rows) + "\n");
         }
         return rows.stream().allMatch(row -> row.doubled() == 0) ? Main.OK : Main.NEGATIVE;
     }
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Publication.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Publication.java
@@ -8,8 +8,8 @@
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
 import org.jackdawsaddle.internal.dispatch.EntryStatus;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.json.Json;
 import picocli.CommandLine.Option;
 
 /** The options of a publication, and how it is made and awaited. */
@@ -46,12 +46,12 @@
     /** Publishes a set; a lost answer is settled by the same publication id. */
     AuditRecord publish(AdminClient client, long baseRevision, ConfigurationSet set) {
         String id = UUID.randomUUID().toString();
-        String body = StoreJson.write(new Body(baseRevision, id, mAuthor, mReason, set));
+        String body = Json.write(new Body(baseRevision, id, mAuthor, mReason, set));
         HttpAnswer answer = client.call("PUT", "/admin/v1/configuration", body);
         for (int tried = 1; tried < TRIES && unsettled(answer); tried++) {
             answer = client.call("PUT", "/admin/v1/configuration", body);
         }
-        return StoreJson.read(client.expect(answer).body(), AuditRecord.class);
+        return Json.read(client.expect(answer).body(), AuditRecord.class);
     }
 
     /** Waits if that is wanted; returns the processes that have not confirmed the revision. */
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ShowCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ShowCommand.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.jackdawsaddle.config.ConfigurationHead;
-import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.json.StrictJson;
 import picocli.CommandLine.Command;
 
 /** Shows the objects in force. */
@@ -14,7 +14,7 @@
     @Override
     public Integer call() {
         ConfigurationHead head = client().configuration();
-        print(head.set(), List.of(JsonBody.pretty(head.set())));
+        print(head.set(), List.of(StrictJson.pretty(head.set())));
         return Main.OK;
     }
 }
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/SubmitCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/SubmitCommand.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.job.TaskRequest;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -38,12 +38,12 @@
     public Integer call() {
         List<TaskRequest> tasks = new ArrayList<>();
         mPayloads.forEach(payload -> tasks.add(new TaskRequest(payload, 0)));
-        String body = StoreJson.write(new Body(mTeam, mKind, mTimeoutMillis, tasks));
+        String body = Json.write(new Body(mTeam, mKind, mTimeoutMillis, tasks));
         HttpAnswer answer =
                 mId == null
                         ? client().call("POST", "/v1/jobs", body)
                         : client().call("PUT", "/v1/jobs/" + mId, body);
-        JsonNode json = StoreJson.read(answer.body(), JsonNode.class);
+        JsonNode json = Json.read(answer.body(), JsonNode.class);
         List<String> lines = new ArrayList<>();
         lines.add(json.path("outcome").asText() + " " + json.path("id").asText());
         json.path("answers").forEach(text -> lines.add(text.asText()));
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/SwarmCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/SwarmCommand.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.Callable;
 import org.jackdawsaddle.internal.http.HttpCaller;
 import org.jackdawsaddle.internal.runtime.UnixClock;
-import org.jackdawsaddle.standin.load.ClosedLoad;
 import org.jackdawsaddle.standin.load.SidecarSwarm;
+import org.jackdawsaddle.standin.load.SteadyLoad;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -77,7 +77,7 @@
     private void load(UnixClock clock) {
         HttpCaller caller = new HttpCaller(clock, 1);
         caller.start();
-        ClosedLoad load = new ClosedLoad(caller, clock, mHttp, mTeam, mKind, mTasks);
+        SteadyLoad load = new SteadyLoad(caller, clock, mHttp, mTeam, mKind, mTasks);
         load.run(mSeconds, mRate, mCallers);
         PrintWriter out = mSpec.commandLine().getOut();
         out.printf(
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/JobCaller.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/JobCaller.java
@@ -5,10 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
 import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.job.SubmissionId;
 import org.jackdawsaddle.job.TaskRequest;
@@ -90,7 +90,7 @@
             tasks.add(new TaskRequest(payload, task.declaredMillis()));
         }
         String kind = tasks.size() == 1 ? mDeployment.writeKind() : mDeployment.batchKind();
-        String body = StoreJson.write(new Body(mDeployment.team(), kind, tasks));
+        String body = Json.write(new Body(mDeployment.team(), kind, tasks));
         CompletableFuture<Answered> first = call(number, id, tasks.size(), body);
         if (!resubmit) {
             return first;
@@ -113,7 +113,7 @@
     }
 
     private static Answered answered(SubmissionId id, int tasks, HttpAnswer answer, double millis) {
-        JsonNode body = StoreJson.read(answer.body(), JsonNode.class);
+        JsonNode body = Json.read(answer.body(), JsonNode.class);
         boolean whole = answer.status() != OK || body.path("answers").size() == tasks;
         for (int index = 0; answer.status() == OK && index < tasks; index++) {
             String expected = "done " + id + "/" + index;
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/LiveRun.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/LiveRun.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.DoubleAdder;
 import java.util.concurrent.locks.LockSupport;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.job.TaskRequest;
 import org.jackdawsaddle.standin.fleet.Deployment;
 import org.jackdawsaddle.standin.fleet.LocalFleet;
@@ -130,7 +130,7 @@
             tasks.add(new TaskRequest(payload, task.declaredMillis()));
         }
         String kind = tasks.size() == 1 ? mDeployment.writeKind() : mDeployment.batchKind();
-        String body = StoreJson.write(new Body(mDeployment.team(), kind, mTimeoutMillis, tasks));
+        String body = Json.write(new Body(mDeployment.team(), kind, mTimeoutMillis, tasks));
         long deadline = mFleet.clock().now() + ANSWER_PATIENCE_MILLIS;
         return mFleet.caller()
                 .call(new HttpCall("POST", address, "/v1/jobs", body, deadline))
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/ClosedLoad.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/SteadyLoad.java
@@ -4,15 +4,15 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
 import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.job.TaskRequest;
 
 /** Submits jobs of equal size at a steady rate, or as fast as a number of callers can. */
-public final class ClosedLoad {
+public final class SteadyLoad {
     private static final long PATIENCE_MILLIS = 20_000;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final int OK = 200;
@@ -36,7 +36,7 @@
      * @param entries where callers reach the entries
      * @param tasks the tasks of each job
      */
-    public ClosedLoad(
+    public SteadyLoad(
             HttpCaller caller,
             UnixClock clock,
             List<String> entries,
@@ -51,7 +51,7 @@
         for (int index = 0; index < tasks; index++) {
             list.add(new TaskRequest("0 work", 1));
         }
-        mBody = StoreJson.write(new Body(team, kind, list));
+        mBody = Json.write(new Body(team, kind, list));
     }
 
     /**
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/target/StartLedger.java
@@ -0,0 +1,50 @@
+package org.jackdawsaddle.standin.target;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Counts every start of every task that a stand-in target saw. */
+public final class StartLedger {
+    private final Map<String, Integer> mStarts = new ConcurrentHashMap<>();
+    private final String mFile;
+
+    /**
+     * Creates a ledger without starts.
+     *
+     * @param file where starts are written too, one task a line; empty for none
+     */
+    public StartLedger(String file) {
+        mFile = file;
+    }
+
+    /** Records a start of the task, named as id/index. */
+    public void started(String task) {
+        mStarts.merge(task, 1, Integer::sum);
+        if (!mFile.isEmpty()) {
+            append(task);
+        }
+    }
+
+    /** Returns how often each task was started. */
+    public Map<String, Integer> starts() {
+        return new TreeMap<>(mStarts);
+    }
+
+    private synchronized void append(String task) {
+        try {
+            Files.writeString(
+                    Path.of(mFile),
+                    task + "\n",
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/target/TargetStandIn.java
@@ -0,0 +1,198 @@
+package org.jackdawsaddle.standin.target;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.json.Json;
+import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.internal.sidecar.SidecarEvent.Announcement;
+
+/**
+ * Takes the place of a target or worker: starts what it is given, holds it for the time that the
+ * payload names divided by its speed, and keeps a ledger of starts.
+ */
+public final class TargetStandIn implements ManagedService {
+    private static final int OK = 200;
+    private static final int FAILED = 500;
+    private static final String TEXT = "text/plain";
+    private static final long MAX_BODY_BYTES = 65_536;
+    private static final long ANNOUNCE_MILLIS = 1_000;
+    private static final long ANNOUNCE_PATIENCE_MILLIS = 900;
+    private static final double MICROS_PER_MILLI = 1_000.0;
+
+    private final TargetSettings mSettings;
+    private final UnixClock mClock;
+    private final StartLedger mLedger;
+    private final HttpServer mHttp;
+    private final HttpCaller mCaller;
+    private final Map<String, RunningCall> mRunning = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(
+                    Thread.ofPlatform().daemon().name("target-timer").factory());
+    private volatile boolean mFailing;
+    private volatile boolean mWithdrawn;
+    private volatile boolean mFrozen;
+
+    private record RunningCall(HttpServerExchange exchange, AtomicBoolean ended) {
+        void end(int status, String body) {
+            if (ended.compareAndSet(false, true)) {
+                Replies.text(exchange, status, TEXT, body);
+            }
+        }
+    }
+
+    /** Creates a target that is not running. */
+    public TargetStandIn(TargetSettings settings, UnixClock clock) {
+        mSettings = settings;
+        mClock = clock;
+        mLedger = new StartLedger(Optional.ofNullable(settings.ledgerFile()).orElse(""));
+        mCaller = new HttpCaller(clock, 1);
+        RoutingHandler routes = new RoutingHandler();
+        routes.post("/tasks/{id}/{index}", this::run);
+        routes.delete("/tasks/{id}/{index}", this::stopTask);
+        routes.get("/ledger", exchange -> Replies.json(exchange, OK, mLedger.starts()));
+        routes.put("/failing/{failing}", this::setFailing);
+        mHttp = new HttpServer(settings.httpAddress(), 1, MAX_BODY_BYTES, 0, routes);
+    }
+
+    @Override
+    public void start() {
+        mHttp.start();
+        mCaller.start();
+        mTimer.scheduleWithFixedDelay(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        mTimer.shutdownNow();
+        mHttp.stop();
+        mCaller.stop();
+    }
+
+    /** Returns what was started here. */
+    public StartLedger ledger() {
+        return mLedger;
+    }
+
+    /** Makes every task fail at once, or lets them run again. */
+    public void failing(boolean failing) {
+        mFailing = failing;
+    }
+
+    /** Returns the payload of a task that holds a slot for the given time at speed 1. */
+    public static String payload(double millis, String text) {
+        return millis + " " + text;
+    }
+
+    /** Never ends a task from now on. */
+    public void freeze() {
+        mFrozen = true;
+    }
+
+    /** Asks for no more work; what runs is finished. */
+    public void withdraw() {
+        mWithdrawn = true;
+        mCaller.call(
+                new HttpCall(
+                        "DELETE",
+                        mSettings.sidecarAddress(),
+                        "/v1/announcement",
+                        "",
+                        mClock.now() + ANNOUNCE_PATIENCE_MILLIS));
+    }
+
+    private void announce() {
+        if (mWithdrawn) {
+            return;
+        }
+        Announcement announcement =
+                new Announcement(
+                        mSettings.name(),
+                        mSettings.service(),
+                        mSettings.httpAddress(),
+                        mSettings.slots(),
+                        mSettings.connections(),
+                        mSettings.capacity(),
+                        Demand.NONE);
+        mCaller.call(
+                new HttpCall(
+                        "PUT",
+                        mSettings.sidecarAddress(),
+                        "/v1/announcement",
+                        Json.write(announcement),
+                        mClock.now() + ANNOUNCE_PATIENCE_MILLIS));
+    }
+
+    private void run(HttpServerExchange exchange) {
+        String task = task(exchange);
+        mLedger.started(task);
+        Replies.withBody(
+                exchange,
+                payload -> {
+                    RunningCall call = new RunningCall(exchange, new AtomicBoolean());
+                    mRunning.put(task, call);
+                    if (mFailing) {
+                        end(task, call, FAILED, "failing");
+                        return;
+                    }
+                    int space = payload.indexOf(' ');
+                    double millis = Double.parseDouble(payload.substring(0, space));
+                    String text = payload.substring(space + 1);
+                    long micros = (long) (millis * MICROS_PER_MILLI / mSettings.speed());
+                    hold(exchange, micros, () -> finish(task, call, text));
+                });
+    }
+
+    private void hold(HttpServerExchange exchange, long micros, Runnable end) {
+        if (micros <= 0) {
+            end.run();
+        } else {
+            exchange.getIoThread().executeAfter(end, micros, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void finish(String task, RunningCall call, String text) {
+        if (text.startsWith("poison")) {
+            end(task, call, FAILED, "cannot run: " + text);
+        } else {
+            end(task, call, OK, "done " + text);
+        }
+    }
+
+    private void end(String task, RunningCall call, int status, String body) {
+        if (mFrozen) {
+            return;
+        }
+        mRunning.remove(task, call);
+        call.end(status, body);
+    }
+
+    private void stopTask(HttpServerExchange exchange) {
+        String task = task(exchange);
+        Optional.ofNullable(mRunning.remove(task)).ifPresent(call -> call.end(FAILED, "stopped"));
+        Replies.json(exchange, OK, "{}");
+    }
+
+    private void setFailing(HttpServerExchange exchange) {
+        failing(Boolean.parseBoolean(exchange.getQueryParameters().get("failing").peekFirst()));
+        Replies.json(exchange, OK, "{}");
+    }
+
+    private static String task(HttpServerExchange exchange) {
+        return exchange.getQueryParameters().get("id").peekFirst()
+                + "/"
+                + exchange.getQueryParameters().get("index").peekFirst();
+    }
+}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
@@ -14,6 +14,7 @@
 import org.jackdawsaddle.config.LimitObject;
 import org.jackdawsaddle.config.ServiceObject;
 import org.jackdawsaddle.config.TeamObject;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.SidecarMessage;
 import org.jackdawsaddle.internal.message.StartTask;
@@ -77,7 +78,7 @@
     }
 
     void publish(long revision, ConfigurationSet set) {
-        String json = StoreJson.write(new ConfigurationHead(revision, set, List.of()));
+        String json = Json.write(new ConfigurationHead(revision, set, List.of()));
         handle(
                 new EntryEvent.StoreRead(
                         List.of(new StoreValue(StoreKeys.CONFIGURATION, ++mVersion, json))));
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/Walk.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/Walk.java
@@ -16,6 +16,7 @@
 import org.jackdawsaddle.config.JobKind;
 import org.jackdawsaddle.config.ServiceObject;
 import org.jackdawsaddle.config.TeamObject;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.PeerMessage;
 import org.jackdawsaddle.internal.message.SidecarMessage;
@@ -51,7 +52,7 @@
         mRandom = new Random(seed);
         mFaultShare = faultShare;
         mStore.mState.compareAndSet(
-                StoreKeys.CONFIGURATION, 0, StoreJson.write(head(1)), Long.MAX_VALUE);
+                StoreKeys.CONFIGURATION, 0, Json.write(head(1)), Long.MAX_VALUE);
         for (int index = 0; index < 3; index++) {
             startEntry("entry-" + index);
         }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/entry/CallerInterfaceTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/entry/CallerInterfaceTest.java
@@ -6,9 +6,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.security.SecureRandom;
 import java.util.Map;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.job.SubmissionId;
 import org.jackdawsaddle.standin.fleet.Deployment;
 import org.jackdawsaddle.standin.fleet.FleetSpec;
@@ -50,7 +50,7 @@
     }
 
     private static JsonNode json(HttpAnswer answer) {
-        return StoreJson.read(answer.body(), JsonNode.class);
+        return Json.read(answer.body(), JsonNode.class);
     }
 
     private String newId() {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.json.Json;
 
 /** A real process of the system, which a test can kill, freeze and resume. */
 final class ChildProcess {
@@ -26,7 +26,7 @@
         mSettings = folder.resolve(name + ".json");
         mLog = folder.resolve(name + ".log").toFile();
         try {
-            Files.writeString(mSettings, StoreJson.write(settings));
+            Files.writeString(mSettings, Json.write(settings));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessFleet.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessFleet.java
@@ -18,10 +18,10 @@
 import org.jackdawsaddle.config.ConfigurationSet;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.dispatch.EntryStatus;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
 import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.internal.store.HttpStoreClient;
 import org.jackdawsaddle.settings.EntrySettings;
@@ -107,7 +107,7 @@
 
     /** Returns the settings as a file has them. */
     private static Object settingsOf(EntrySettings settings) {
-        Map<?, ?> map = StoreJson.read(StoreJson.write(settings), Map.class);
+        Map<?, ?> map = Json.read(Json.write(settings), Map.class);
         return map;
     }
 
@@ -152,7 +152,7 @@
         try {
             HttpAnswer answer = mCaller.call(call).join();
             return answer.succeeded()
-                    ? Arrays.asList(StoreJson.read(answer.body(), EntryStatus[].class))
+                    ? Arrays.asList(Json.read(answer.body(), EntryStatus[].class))
                     : List.of();
         } catch (CompletionException e) {
             return List.of();
--- a/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
@@ -23,11 +23,11 @@
 import org.jackdawsaddle.internal.dispatch.EntryStatus;
 import org.jackdawsaddle.internal.dispatch.Layout;
 import org.jackdawsaddle.internal.dispatch.QueueOrder;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.entry.EntryControl;
 import org.jackdawsaddle.internal.entry.EntryLinks;
 import org.jackdawsaddle.internal.entry.EntryRoutes;
 import org.jackdawsaddle.internal.entry.StoreWatch;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.PeerMessage;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.HttpServer;
@@ -216,8 +216,7 @@
 
     private void onStatusAnswer(PeerMessage.StatusAnswer answer) {
         Optional.ofNullable(mStatusCalls.remove(answer.token()))
-                .ifPresent(
-                        call -> call.complete(StoreJson.read(answer.status(), EntryStatus.class)));
+                .ifPresent(call -> call.complete(Json.read(answer.status(), EntryStatus.class)));
     }
 
     private void awaitIdle() {
--- a/jackdawsaddle/src/org/jackdawsaddle/SidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/SidecarService.java
@@ -11,8 +11,8 @@
 import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.internal.dispatch.Timing;
 import org.jackdawsaddle.internal.http.HttpCaller;
-import org.jackdawsaddle.internal.http.JsonBody;
 import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.json.StrictJson;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.HealthHandler;
 import org.jackdawsaddle.internal.runtime.HttpServer;
@@ -125,7 +125,7 @@
                 exchange,
                 body -> {
                     SidecarEvent.Announcement announcement =
-                            JsonBody.read(body, SidecarEvent.Announcement.class);
+                            StrictJson.read(body, SidecarEvent.Announcement.class);
                     later(new SidecarEvent.TargetAnnounced(announcement));
                     Replies.json(exchange, OK, "{}");
                 });
--- a/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationPublisher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationPublisher.java
@@ -12,8 +12,8 @@
 import org.jackdawsaddle.errors.ConfigurationConflictException;
 import org.jackdawsaddle.errors.ConfigurationInvalidException;
 import org.jackdawsaddle.errors.StoreUnavailableException;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.dispatch.StoreKeys;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.store.StoreClient;
 import org.jackdawsaddle.store.StoreValue;
 
@@ -71,7 +71,7 @@
 
     private CompletableFuture<ConfigurationHead> write(
             StoreValue value, ConfigurationHead head, String publicationId) {
-        String json = StoreJson.write(head);
+        String json = Json.write(head);
         return mStore.compareAndSet(
                         StoreKeys.CONFIGURATION, value.version(), json, Optional.empty())
                 .handle((version, failure) ->
@@ -165,12 +165,12 @@
     private static ConfigurationHead parse(StoreValue value) {
         return value.absent()
                 ? ConfigurationHead.NONE
-                : StoreJson.read(value.value(), ConfigurationHead.class);
+                : Json.read(value.value(), ConfigurationHead.class);
     }
 
     private static String hash(ConfigurationSet set) {
         try {
-            byte[] json = StoreJson.write(set).getBytes(StandardCharsets.UTF_8);
+            byte[] json = Json.write(set).getBytes(StandardCharsets.UTF_8);
             return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(json));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
--- a/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationReader.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationReader.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.jackdawsaddle.errors.RequestInvalidException;
-import org.jackdawsaddle.internal.http.JsonBody;
+import org.jackdawsaddle.internal.json.StrictJson;
 
 /** Reads the objects of any number of JSON files into one set. */
 public final class ConfigurationReader {
@@ -17,7 +17,7 @@
     /** Reads one more file; what is wrong with it becomes a finding. */
     public void read(Path file) {
         try {
-            mParts.add(JsonBody.read(Files.readString(file), ConfigurationSet.class));
+            mParts.add(StrictJson.read(Files.readString(file), ConfigurationSet.class));
         } catch (IOException e) {
             String remedy = "Name a readable file.";
             mFindings.add(new Finding("file " + file, "", "cannot be read.", remedy));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ConfigurationController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/ConfigurationController.java
@@ -5,6 +5,7 @@
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.ConfigurationHead;
 import org.jackdawsaddle.config.TargetObject;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.EntryMessage.TargetConfiguration;
 import org.jackdawsaddle.internal.message.PeerMessage.ConfigurationPush;
 
@@ -18,7 +19,7 @@
 
     /** Applies a published configuration if it is newer; returns whether it was. */
     boolean apply(String json) {
-        ConfigurationHead head = StoreJson.read(json, ConfigurationHead.class);
+        ConfigurationHead head = Json.read(json, ConfigurationHead.class);
         if (head.revision() <= mBoard.mHead.revision()) {
             return false;
         }
@@ -50,7 +51,7 @@
     void onPeerRevision(NodeId peer, long revision) {
         Optional.ofNullable(mBoard.mPeers.get(peer)).ifPresent(view -> view.mRevision = revision);
         if (revision < mBoard.mHead.revision()) {
-            String json = StoreJson.write(mBoard.mHead);
+            String json = Json.write(mBoard.mHead);
             mBoard.mOutbox.sendToPeer(peer, new ConfigurationPush(mBoard.mHead.revision(), json));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.ServiceObject;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.PeerMessage;
 import org.jackdawsaddle.internal.message.SidecarMessage;
 import org.jackdawsaddle.job.SubmissionId;
@@ -138,7 +139,7 @@
 
     /** Returns the JSON text of the configuration in force. */
     public String configuration() {
-        return StoreJson.write(mBoard.mHead);
+        return Json.write(mBoard.mHead);
     }
 
     /** Returns a snapshot of this entry for operators. */
@@ -311,7 +312,7 @@
             case PeerMessage.StatusQuery query ->
                     mBoard.mOutbox.sendToPeer(
                             peer,
-                            new PeerMessage.StatusAnswer(query.token(), StoreJson.write(status())));
+                            new PeerMessage.StatusAnswer(query.token(), Json.write(status())));
             case PeerMessage.StatusAnswer answer ->
                     throw new IllegalArgumentException("Taken by the process: " + answer);
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Outbox.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Outbox.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.EntryMessage.StartTasks;
 import org.jackdawsaddle.internal.message.EntryMessage.StopTasks;
@@ -43,7 +44,7 @@
     }
 
     void write(String key, long expectedVersion, Object value, Optional<Long> leaseMillis) {
-        String json = StoreJson.write(value);
+        String json = Json.write(value);
         mActions.add(new EntryAction.WriteStore(key, expectedVersion, json, leaseMillis));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/StoreController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/StoreController.java
@@ -1,6 +1,7 @@
 package org.jackdawsaddle.internal.dispatch;
 
 import java.util.Optional;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.store.StoreValue;
 
 /** Takes what the store says, and hands each value to the controller that it concerns. */
@@ -52,12 +53,11 @@
             Optional<EntryRecord> record =
                     value.absent()
                             ? Optional.empty()
-                            : Optional.of(StoreJson.read(value.value(), EntryRecord.class));
+                            : Optional.of(Json.read(value.value(), EntryRecord.class));
             mMembership.onEntryRecord(StoreKeys.entryName(key), value.version(), record);
             mWelcomes.welcomeOwnSidecars();
         } else if (StoreKeys.isPartition(key) && !value.absent()) {
-            onPartitionRecord(
-                    StoreJson.read(value.value(), PartitionRecord.class), value.version());
+            onPartitionRecord(Json.read(value.value(), PartitionRecord.class), value.version());
         }
     }
 
@@ -66,7 +66,7 @@
             mLayoutAsked = false;
             return;
         }
-        Layout layout = StoreJson.read(value.value(), Layout.class);
+        Layout layout = Json.read(value.value(), Layout.class);
         mBoard.mPartitionCount = layout.partitions();
         mBoard.mMap = Optional.of(new PartitionMap(layout.partitions()));
         mBoard.mSidecars.values().forEach(mConfiguration::onAnnounced);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
@@ -17,8 +17,8 @@
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
 import org.jackdawsaddle.errors.RequestInvalidException;
-import org.jackdawsaddle.internal.http.JsonBody;
 import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.json.StrictJson;
 
 /** The HTTP interface of operators; every call needs the token. */
 final class AdminHandler {
@@ -92,7 +92,7 @@
         Replies.withBody(
                 exchange,
                 text -> {
-                    PublishBody body = JsonBody.read(text, PublishBody.class);
+                    PublishBody body = StrictJson.read(text, PublishBody.class);
                     require(body.author(), "author");
                     require(body.reason(), "reason");
                     require(body.publicationId(), "publicationId");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/CallerHandler.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/CallerHandler.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.jackdawsaddle.errors.RequestInvalidException;
-import org.jackdawsaddle.internal.http.JsonBody;
 import org.jackdawsaddle.internal.http.Replies;
+import org.jackdawsaddle.internal.json.StrictJson;
 import org.jackdawsaddle.job.JobAnswer;
 import org.jackdawsaddle.job.JobRequest;
 import org.jackdawsaddle.job.SubmissionId;
@@ -49,7 +49,7 @@
         Replies.withBody(
                 exchange,
                 text -> {
-                    JobBody body = JsonBody.read(text, JobBody.class);
+                    JobBody body = StrictJson.read(text, JobBody.class);
                     body.checkedDeadline(mControl.now());
                     mControl.issueIds(1, Optional.of(body.kind()))
                             .thenAccept(ids -> submit(exchange, ids.getFirst(), body));
@@ -59,7 +59,7 @@
     private void submitNamed(HttpServerExchange exchange) {
         Replies.withBody(
                 exchange,
-                text -> submit(exchange, id(exchange), JsonBody.read(text, JobBody.class)));
+                text -> submit(exchange, id(exchange), StrictJson.read(text, JobBody.class)));
     }
 
     private void submit(HttpServerExchange exchange, SubmissionId id, JobBody body) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/RosterEditor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/RosterEditor.java
@@ -7,9 +7,9 @@
 import org.jackdawsaddle.internal.dispatch.Layout;
 import org.jackdawsaddle.internal.dispatch.PartitionRecord;
 import org.jackdawsaddle.internal.dispatch.RosterMember;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.dispatch.StoreKeys;
 import org.jackdawsaddle.internal.dispatch.Timing;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.store.StoreClient;
 import org.jackdawsaddle.store.StoreValue;
 
@@ -30,7 +30,7 @@
     CompletableFuture<Integer> forget(String name, long now) {
         return mStore.read(StoreKeys.LAYOUT)
                 .thenCompose(layout -> {
-                    int partitions = StoreJson.read(layout.value(), Layout.class).partitions();
+                    int partitions = Json.read(layout.value(), Layout.class).partitions();
                     CompletableFuture<Integer> changed = CompletableFuture.completedFuture(0);
                     for (int index = 0; index < partitions; index++) {
                         int partition = index;
@@ -53,7 +53,7 @@
                     return mStore.compareAndSet(
                                     key,
                                     value.version(),
-                                    StoreJson.write(changed.get()),
+                                    Json.write(changed.get()),
                                     Optional.empty())
                             .thenApply(version -> confirmed(version, key));
                 });
@@ -70,7 +70,7 @@
         if (value.absent()) {
             return Optional.empty();
         }
-        PartitionRecord record = StoreJson.read(value.value(), PartitionRecord.class);
+        PartitionRecord record = Json.read(value.value(), PartitionRecord.class);
         List<RosterMember> roster =
                 record.roster().stream().map(member -> forgotten(member, name, now)).toList();
         return roster.equals(record.roster())
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/Replies.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/Replies.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
+import org.jackdawsaddle.internal.json.Json;
 
 /** Reads requests and writes replies without holding a thread. */
 public final class Replies {
@@ -28,7 +28,7 @@
 
     /** Writes a JSON reply; may be called on any thread. */
     public static void json(HttpServerExchange exchange, int status, Object body) {
-        text(exchange, status, JSON, body instanceof String text ? text : StoreJson.write(body));
+        text(exchange, status, JSON, body instanceof String text ? text : Json.write(body));
     }
 
     /** Writes a reply; may be called on any thread. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/StoreJson.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/Json.java
@@ -1,15 +1,15 @@
-package org.jackdawsaddle.internal.dispatch;
+package org.jackdawsaddle.internal.json;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-/** Writes and reads the JSON values of the store; fields of newer versions are passed over. */
-public final class StoreJson {
+/** Writes and reads JSON between processes; fields of newer versions are passed over. */
+public final class Json {
     private static final ObjectMapper MAPPER =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
-    private StoreJson() {}
+    private Json() {}
 
     /** Returns the JSON text of a value. */
     public static String write(Object value) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/JsonBody.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/StrictJson.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.http;
+package org.jackdawsaddle.internal.json;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -10,14 +10,14 @@
 import org.jackdawsaddle.errors.RequestInvalidException;
 
 /** Reads JSON that people write: unknown fields and wrong types are errors with a path. */
-public final class JsonBody {
+public final class StrictJson {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
                     .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .build();
 
-    private JsonBody() {}
+    private StrictJson() {}
 
     /**
      * Reads a value.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/store/HttpStoreClient.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/store/HttpStoreClient.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jackdawsaddle.errors.StoreUnavailableException;
-import org.jackdawsaddle.internal.dispatch.StoreJson;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
 import org.jackdawsaddle.internal.http.HttpCaller;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.store.StoreClient;
 import org.jackdawsaddle.store.StoreValue;
@@ -42,7 +42,7 @@
         return call("GET", "/v1/values/" + key, "", CALL_PATIENCE_MILLIS)
                 .thenApply(answer ->
                         switch (answer.status()) {
-                            case OK -> StoreJson.read(answer.body(), StoreValue.class);
+                            case OK -> Json.read(answer.body(), StoreValue.class);
                             case NOT_FOUND -> new StoreValue(key, 0, "");
                             default -> throw unavailable(answer);
                         });
@@ -57,8 +57,7 @@
                 .thenApply(answer ->
                         switch (answer.status()) {
                             case OK ->
-                                    Optional.of(
-                                            StoreJson.read(answer.body(), Written.class).version());
+                                    Optional.of(Json.read(answer.body(), Written.class).version());
                             case CONFLICT -> Optional.empty();
                             default -> throw unavailable(answer);
                         });
@@ -78,7 +77,7 @@
                     if (answer.status() != OK) {
                         throw unavailable(answer);
                     }
-                    ChangeList list = StoreJson.read(answer.body(), ChangeList.class);
+                    ChangeList list = Json.read(answer.body(), ChangeList.class);
                     return new Changes(list.position(), list.values());
                 });
     }
