Give a peer time to be connected before taking its partition

Cause: starting the example of 18 processes on 6 cores ended at epoch 5: entries took the partition from each other while their connections were still being opened, since a peer that was never connected counted as one that refuses connections. Each takeover was safe, but cost time. Ruled out: frozen peers, which have 2 s.

The short patience of 400 ms now needs a connection that was lost. ClaimControllerTest failed before (a claim within 1.5 s of discovery) and passes after; the walk passed 150 schedules.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
@@ -71,6 +71,7 @@
         PeerView peer = mBoard.mPeers.get(node);
         if (peer != null) {
             peer.mConnected = true;
+            peer.mWasConnected = true;
             mBoard.mOutbox.sendToPeer(node, new PeerHello(mBoard.self(), mBoard.mHead.revision()));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PeerView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/PeerView.java
@@ -4,6 +4,7 @@
 final class PeerView {
     final String mAddress;
     boolean mConnected;
+    boolean mWasConnected;
     long mHeardAt;
     long mRevision;
 
@@ -14,7 +15,8 @@
 
     /** Returns whether the peer has shown no sign of life for too long. */
     boolean silent(long now) {
-        long patience = mConnected ? Timing.PEER_SILENCE_MILLIS : Timing.PEER_REFUSED_MILLIS;
+        boolean refused = mWasConnected && !mConnected;
+        long patience = refused ? Timing.PEER_REFUSED_MILLIS : Timing.PEER_SILENCE_MILLIS;
         return now - mHeardAt > patience;
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/Timing.java
@@ -51,7 +51,7 @@
     /** After how long without a sign of life another entry may take over a peer's partitions. */
     public static final long PEER_SILENCE_MILLIS = 2_000;
 
-    /** The same, where the peer's address refuses connections. */
+    /** The same, where a connection to the peer has ended and none can be opened. */
     public static final long PEER_REFUSED_MILLIS = 400;
 
     /** The delay of each further candidate for a vacant partition. */
