--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
@@ -32,6 +32,7 @@
     private static final int PEER_PORT = 17_720;
     private static final int WORKER_PORT = 18_165;
     private static final double WORKER_CORES = 16;
+    private static final long RESEND_MILLIS = 1_300;
     private static final double GRACE_SECONDS = 1;
     private static final double[] SPEEDS = {0.6, 1.0, 1.6};
     private static final int FIRST_SIDECAR_HOST = 100;
@@ -176,6 +177,7 @@
                         seeds,
                         mStoreAddress,
                         WorkerModel.LEASE_MILLIS,
+                        RESEND_MILLIS,
                         GRACE_SECONDS);
         return readBack(settings);
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
@@ -77,8 +77,8 @@
                         Optional.empty(),
                         0);
         PoolJob job = new PoolJob("aa", "checks", "", List.of(step), NOW + 30_000);
-        PoolQueue queue = new PoolQueue("checks", "h", "/c/", "ledger", 0, 3, 1.6, 60);
-        ActiveJob active = new ActiveJob(job, queue, NOW - waited);
+        PoolQueue queue = new PoolQueue("checks", "h", "/c/", "ledger", 0, 3, 1.6, 60, 0);
+        ActiveJob active = new ActiveJob(job, queue, NOW - waited, 0);
         return mPlacement.choose(active.mTasks.get(0), seats, NOW).orElseThrow().mHello.target();
     }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -26,6 +26,8 @@
     private static final NodeId ONE = new NodeId("one", 1);
     private static final NodeId TWO = new NodeId("two", 1);
     private static final long LEASE_MILLIS = 1_000;
+    private static final long RESEND_MILLIS = 1_300;
+    private static final long PATIENCE_MILLIS = 1_500;
     private static final long TASK_MILLIS = 100;
 
     /** An order that the entry has sent. */
@@ -48,13 +50,14 @@
         mAnswers.clear();
         mToPeers.clear();
         mDroppedPeers.clear();
-        mCore = new PoolEntryCore(LEASE_MILLIS);
+        mCore = new PoolEntryCore(LEASE_MILLIS, RESEND_MILLIS);
         assertFalse(mCore.ready());
         configure(1);
         assertFalse(mCore.ready(), "no sidecar serves yet");
         connect(ONE);
         connect(TWO);
         assertTrue(mCore.ready());
+        pass(PoolTiming.PING_MILLIS);
     }
 
     @Test
@@ -101,6 +104,22 @@
         assertTrue(mAnswers.get(0) instanceof PoolAnswer.Failed);
     }
 
+    @Test
+    public void holdsJobsUntilSidecarsHaveHadTimeToConnect() {
+        mCore = new PoolEntryCore(LEASE_MILLIS, RESEND_MILLIS);
+        configure(1);
+        for (int job = 0; job < 20; job++) {
+            submit("b" + job, 2, 16);
+        }
+        mNow += 400;
+        tick();
+        assertEquals(mAnswers, List.of(), "no sidecar is known yet");
+        connect(ONE);
+        assertEquals(mOrders.size(), 1);
+        submit("cc", 2, 16);
+        assertEquals(mAnswers, List.of(), "the other sidecars may still connect");
+    }
+
     @Test
     public void joinsARequestOfTheSameJob() {
         submit("aa", 1, 4);
@@ -122,6 +141,19 @@
         assertTrue(mAnswers.stream().anyMatch(PoolAnswer.Refused.class::isInstance));
     }
 
+    @Test
+    public void refusesARequestThatWasFirstSentTooLongAgoUnlessThereIsRoom() {
+        submit("ab", 1, new Demand(4, 1, 0), PATIENCE_MILLIS - 1);
+        assertEquals(mOrders.size(), 1);
+        report(mOrders.get(0), ReportKind.DONE);
+        mAnswers.clear();
+        submit("aa", 8, 4);
+        submit("bb", 1, new Demand(4, 1, 0), PATIENCE_MILLIS - 1);
+        assertTrue(mAnswers.get(0) instanceof PoolAnswer.Refused, "it was sent 1.3 s ago");
+        submit("cc", 1, new Demand(4, 1, 0), PATIENCE_MILLIS);
+        assertEquals(mAnswers.size(), 1);
+    }
+
     @Test
     public void refusesAJobBehindMoreWorkThanItCanWaitFor() {
         submit("aa", 2, 16);
@@ -243,7 +275,8 @@
     }
 
     private void configure(long version) {
-        PoolQueue queue = new PoolQueue("checks", "host", "/c/", "ledger", 0, 3, 1.6, 60);
+        PoolQueue queue =
+                new PoolQueue("checks", "host", "/c/", "ledger", 0, 3, 1.6, 60, PATIENCE_MILLIS);
         mCore.handle(
                 new PoolEntryEvent.ConfigurationRead(
                         new PoolConfiguration(version, List.of(queue))),
@@ -280,6 +313,10 @@
     }
 
     private void submit(String id, int tasks, Demand demand) {
+        submit(id, tasks, demand, 30_000);
+    }
+
+    private void submit(String id, int tasks, Demand demand, long waitMillis) {
         PoolStep step =
                 new PoolStep(
                         tasks,
@@ -290,7 +327,7 @@
                         Optional.empty(),
                         0);
         mTokens++;
-        PoolJob job = new PoolJob(id, "checks", "payload", List.of(step), mNow + 30_000);
+        PoolJob job = new PoolJob(id, "checks", "payload", List.of(step), mNow + waitMillis);
         mCore.handle(new PoolEntryEvent.JobSubmitted(mTokens, job), mNow);
         perform();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolWalk.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolWalk.java
@@ -28,7 +28,7 @@
 
     static final PoolConfiguration CONFIGURATION =
             new PoolConfiguration(
-                    1, List.of(new PoolQueue("checks", "h", "/c/", "ledger", 0, 3, 1.6, 60)));
+                    1, List.of(new PoolQueue("checks", "h", "/c/", "ledger", 0, 3, 1.6, 60, 0)));
 
     final Random mRandom;
     private final PriorityQueue<Timed> mAgenda =
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/WalkedEntry.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/WalkedEntry.java
@@ -26,7 +26,7 @@
 
     @Override
     void create() {
-        mCore = new PoolEntryCore(WorkerModel.LEASE_MILLIS);
+        mCore = new PoolEntryCore(WorkerModel.LEASE_MILLIS, PoolWalk.RESEND_MILLIS);
         mConnections.clear();
         mNodes.clear();
         List<WalkedCaller> broken = List.copyOf(mCallers.values());
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -51,7 +51,7 @@
         mConfig = config;
         mClock = clock;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
-        mCore = new PoolEntryCore(config.leaseMillis());
+        mCore = new PoolEntryCore(config.leaseMillis(), config.resendMillis());
         mLoop =
                 new ControlLoop(
                         "control",
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -13,6 +13,10 @@
     final PoolJob mJob;
     final PoolQueue mQueue;
     final long mArrivedAt;
+
+    /** When its caller first sent it, as far as the caller's waiting time tells. */
+    final long mSentAt;
+
     final List<Long> mTokens = new ArrayList<>();
     final List<TaskState> mTasks = new ArrayList<>();
 
@@ -22,10 +26,17 @@
     private int mDone;
     boolean mEnded;
 
-    ActiveJob(PoolJob job, PoolQueue queue, long arrivedAt) {
+    /**
+     * Creates a job of which nothing has run.
+     *
+     * @param resendMillis how long a caller without an answer waits before it sends its job again
+     */
+    ActiveJob(PoolJob job, PoolQueue queue, long arrivedAt, long resendMillis) {
         mJob = job;
         mQueue = queue;
         mArrivedAt = arrivedAt;
+        boolean sentBefore = job.deadline() - arrivedAt < queue.patienceMillis();
+        mSentAt = sentBefore ? arrivedAt - resendMillis : arrivedAt;
         for (int step = 0; step < job.steps().size(); step++) {
             for (int index = 0; index < job.steps().get(step).tasks(); index++) {
                 mTasks.add(new TaskState(this, step, index));
@@ -77,6 +88,6 @@
 
     /** Returns when a task should have ended for the job to be in time, by what was declared. */
     long wantedEnd(double expectedMillis) {
-        return mArrivedAt + mQueue.targetMillis() + Math.round(mQueue.stretch() * expectedMillis);
+        return mSentAt + mQueue.targetMillis() + Math.round(mQueue.stretch() * expectedMillis);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -43,12 +43,15 @@
     private final PoolBoard mBoard;
     private final Placement mPlacement;
     private final PoolAdmission mAdmission;
+    private final long mResendMillis;
     private final Map<String, KeptAnswer> mAnswers = new LinkedHashMap<>();
 
-    JobController(PoolBoard board, Placement placement, PoolAdmission admission) {
+    JobController(
+            PoolBoard board, Placement placement, PoolAdmission admission, long resendMillis) {
         mBoard = board;
         mPlacement = placement;
         mAdmission = admission;
+        mResendMillis = resendMillis;
     }
 
     void submit(long token, PoolJob job) {
@@ -72,7 +75,7 @@
             refuse(token, job, new PoolAnswer.Refused("the queue was removed", RETRY_MILLIS));
             return;
         }
-        ActiveJob active = new ActiveJob(job, queue.get(), mBoard.mNow);
+        ActiveJob active = new ActiveJob(job, queue.get(), mBoard.mNow, mResendMillis);
         Optional<PoolAnswer> refusal = mAdmission.check(active);
         if (refusal.isPresent()) {
             refuse(token, job, refusal.get());
@@ -81,6 +84,9 @@
         active.mTokens.add(token);
         mBoard.mJobs.put(job.id(), active);
         dispatch();
+        if (!active.begun()) {
+            refuseIfUseless(active);
+        }
     }
 
     private void refuse(long token, PoolJob job, PoolAnswer answer) {
@@ -221,11 +227,15 @@
     }
 
     private void giveUpIfHopeless(ActiveJob job) {
-        if (!mAdmission.fits(job)) {
-            if (mBoard.mNow - job.mArrivedAt >= DISCOVERY_MILLIS) {
-                end(job, new PoolAnswer.Failed("a task is larger than every target"));
-            }
-        } else if (!mPlacement.useful(job, mBoard.mNow)) {
+        if (mAdmission.fits(job)) {
+            refuseIfUseless(job);
+        } else if (mBoard.mNow - job.mArrivedAt >= DISCOVERY_MILLIS && !mBoard.settling()) {
+            end(job, new PoolAnswer.Failed("a task is larger than every target"));
+        }
+    }
+
+    private void refuseIfUseless(ActiveJob job) {
+        if (!mPlacement.useful(job, mBoard.mNow)) {
             end(job, new PoolAnswer.Refused("waited too long for room", RETRY_MILLIS));
         }
     }
@@ -258,6 +268,7 @@
                 .with("configuration", mBoard.mConfiguration.version())
                 .with("answer", answer)
                 .with("ms", mBoard.mNow - job.mArrivedAt)
+                .with("sent_before_ms", job.mArrivedAt - job.mSentAt)
                 .with("wanted_ms", wantedMillis(job))
                 .with("tasks", job.mTasks.size())
                 .with("tasks_done", job.doneTasks())
@@ -268,7 +279,7 @@
     }
 
     private long wantedMillis(ActiveJob job) {
-        return job.wantedEnd(mPlacement.longestMillis(job)) - job.mArrivedAt;
+        return job.wantedEnd(mPlacement.longestMillis(job)) - job.mSentAt;
     }
 
     private void keep(String id, PoolAnswer answer) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -100,7 +100,7 @@
     Comparator<ActiveJob> order(long now) {
         return Comparator.<ActiveJob, Boolean>comparing(job -> late(job, now))
                 .thenComparingInt(job -> job.mQueue.priority())
-                .thenComparingLong(job -> job.mArrivedAt);
+                .thenComparingLong(job -> job.mSentAt);
     }
 
     /** Returns whether a job misses its wanted response time even if all of it started now. */
@@ -112,8 +112,8 @@
     /** Returns whether the answer to a job can still be of use to its caller. */
     boolean useful(ActiveJob job, long now) {
         double longest = longestMillis(job);
-        long wanted = job.wantedEnd(longest) - job.mArrivedAt;
-        return now + longest <= job.mArrivedAt + USEFUL_MULTIPLE * wanted;
+        long wanted = job.wantedEnd(longest) - job.mSentAt;
+        return now + longest <= job.mSentAt + USEFUL_MULTIPLE * wanted;
     }
 
     /** Returns the expected run time of the longest task at the usual speed, in milliseconds. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -42,7 +42,7 @@
 
     private Optional<PoolAnswer> overloaded(ActiveJob job) {
         double cores = ownCores(job);
-        if (cores <= 0) {
+        if (cores <= 0 || mBoard.settling()) {
             return Optional.empty();
         }
         double ahead = 0;
@@ -52,7 +52,7 @@
             }
         }
         long wait = Math.round(ahead / cores);
-        if (mPlacement.useful(job, mBoard.mNow + wait)) {
+        if (ahead == 0 || mPlacement.useful(job, mBoard.mNow + wait)) {
             return Optional.empty();
         }
         return Optional.of(new PoolAnswer.Refused("overloaded", wait));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
@@ -12,6 +12,12 @@
 
 /** The blackboard of an entry in a pool, used on the control thread alone. */
 final class PoolBoard {
+    /** How long after a start sidecars may take to be found: two announcements of a target. */
+    private static final long DISCOVERY_MILLIS = 3_000;
+
+    /** How long after the first sidecar the others may take to connect. */
+    private static final long SETTLE_MILLIS = 150;
+
     final Map<NodeId, SidecarSeat> mSeats = new LinkedHashMap<>();
     final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
 
@@ -28,6 +34,25 @@
 
     boolean mLeaving;
     long mNow;
+    private long mStartedAt;
+    private long mServingAt;
+
+    void at(long now) {
+        mNow = now;
+        mStartedAt = mStartedAt == 0 ? now : mStartedAt;
+    }
+
+    /** Notes that a sidecar serves. */
+    void noteServing() {
+        mServingAt = mServingAt == 0 ? mNow : mServingAt;
+    }
+
+    /** Returns whether too few sidecars may be known yet to judge what can be served. */
+    boolean settling() {
+        return mServingAt == 0
+                ? mNow - mStartedAt < DISCOVERY_MILLIS
+                : mNow - mServingAt < SETTLE_MILLIS;
+    }
 
     void count(PoolEntryCounter counter) {
         mCounts[counter.ordinal()]++;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -23,12 +23,15 @@
      * Creates the decisions of one entry.
      *
      * @param leaseMillis the longest lease that targets grant, in milliseconds
+     * @param resendMillis how long a caller without an answer waits before it sends its job again
      */
-    public PoolEntryCore(long leaseMillis) {
+    public PoolEntryCore(long leaseMillis, long resendMillis) {
         mBoard = new PoolBoard();
         SpeedModel speeds = new SpeedModel();
         Placement placement = new Placement(speeds);
-        mJobs = new JobController(mBoard, placement, new PoolAdmission(mBoard, placement));
+        mJobs =
+                new JobController(
+                        mBoard, placement, new PoolAdmission(mBoard, placement), resendMillis);
         mSeats = new SeatController(mBoard, mJobs, speeds, leaseMillis);
         mPeers = new PeerController(mBoard);
     }
@@ -39,7 +42,7 @@
      * @param now the clock in milliseconds since the epoch, which never goes back
      */
     public void handle(PoolEntryEvent event, long now) {
-        mBoard.mNow = now;
+        mBoard.at(now);
         switch (event) {
             case PoolEntryEvent.JobSubmitted submitted ->
                     mJobs.submit(submitted.token(), submitted.job());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
@@ -61,6 +61,7 @@
     private void onRoom(SidecarSeat seat, PoolMessage.Room room) {
         seat.onRoom(room);
         if (room.serving()) {
+            mBoard.noteServing();
             olderLives(seat.node()).forEach(this::drop);
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/PoolEntryConfig.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolEntryConfig.java
@@ -9,8 +9,10 @@
  * @param address where sidecars and other entries reach it, as host:port
  * @param seeds addresses of some entries, as host:port; they may be down
  * @param leaseMillis the longest lease that targets grant, in milliseconds
+ * @param resendMillis how long a caller without an answer waits before it sends its job again
  */
-public record PoolEntryConfig(String name, String address, List<String> seeds, long leaseMillis) {
+public record PoolEntryConfig(
+        String name, String address, List<String> seeds, long leaseMillis, long resendMillis) {
 
     /** Copies the list. */
     public PoolEntryConfig {
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/PoolQueue.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolQueue.java
@@ -11,6 +11,8 @@
  * @param maxAttempts how often a task may fail before its job does
  * @param stretch the wanted response time as a multiple of the longest chain of tasks
  * @param targetMillis what is added to that, in milliseconds
+ * @param patienceMillis what a caller waits at least, and the more the longer its job is; one that
+ *     will wait for less has sent the job before; 0 if this is not known
  */
 public record PoolQueue(
         String name,
@@ -20,4 +22,5 @@
         int priority,
         int maxAttempts,
         double stretch,
-        long targetMillis) {}
+        long targetMillis,
+        long patienceMillis) {}
