Let late jobs take only room that no entry has taken for a while

Cause: each entry puts jobs that can be in time before late ones, but not before those of other entries: as soon as a task ends, all entries are told, and those with a backlog of late jobs take the room first.

A late job now takes only room that has been free for one to two ticks (20 to 40 ms), so that jobs of any entry that can be in time come first.

--- a/jackdawsaddle/src/org/jackdawsaddle/config/Demand.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/Demand.java
@@ -35,6 +35,14 @@
                 Math.max(accelerators, other.accelerators));
     }
 
+    /** Returns, for each resource, the smaller of both amounts. */
+    public Demand min(Demand other) {
+        return new Demand(
+                Math.min(cores, other.cores),
+                Math.min(memoryMegabytes, other.memoryMegabytes),
+                Math.min(accelerators, other.accelerators));
+    }
+
     /** Returns whether this amount can be taken out of the given capacity. */
     public boolean fitsIn(Demand capacity) {
         return cores <= capacity.cores
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -7,8 +7,9 @@
 import org.jackdawsaddle.pool.PoolStep;
 
 /**
- * Chooses the target of a task: the slowest that still ends it in time, so that fast ones are left
- * for tasks that need them, or else the one that ends it first.
+ * Chooses the target of a task, which for late jobs has room that no entry has taken for a while,
+ * as others may have jobs that can still be in time: the slowest that still ends it in time, so
+ * that fast ones are left for tasks that need them, or else the one that ends it first.
  */
 final class Placement {
     /** What a start takes on its way to the target, and its end on the way back. */
@@ -30,9 +31,11 @@
     Optional<SidecarSeat> choose(TaskState task, Collection<SidecarSeat> seats, long now) {
         double expected = expectedMillis(task);
         long wantedEnd = task.mJob.wantedEnd(expected);
+        boolean late = late(task.mJob, now);
         SidecarSeat best = null;
         for (SidecarSeat seat : seats) {
             if (eligible(task, seat, now)
+                    && (!late || seat.fitsInLeftOvers(task.mStep.demand()))
                     && (best == null || better(seat, best, expected, wantedEnd - now, task))) {
                 best = seat;
             }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
@@ -191,6 +191,7 @@
     void onTick() {
         excuseOwnPause();
         for (SidecarSeat seat : List.copyOf(mBoard.mSeats.values())) {
+            seat.onTick();
             long silence = mBoard.mNow - seat.mHeardAt;
             if (seat.mConnected && silence > PoolTiming.SILENCE_MILLIS) {
                 mBoard.mActions.add(new PoolEntryAction.DropSidecar(seat.node()));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarSeat.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarSeat.java
@@ -26,6 +26,11 @@
     long mLastDoneAt;
     private final Map<Long, Demand> mUncounted = new LinkedHashMap<>();
     private Demand mFree = Demand.NONE;
+
+    /** The least room in the span of time before the last tick, and since then. */
+    private Demand mLeastBefore = Demand.NONE;
+
+    private Demand mLeastNow = Demand.NONE;
     private boolean mServing;
     private long mClock;
     private long mStarts;
@@ -45,6 +50,7 @@
         mStarts = 0;
         mUncounted.clear();
         mFree = Demand.NONE;
+        mLeastNow = Demand.NONE;
         mServing = false;
     }
 
@@ -55,6 +61,7 @@
         mUncounted.keySet().removeIf(number -> number <= room.handledStarts());
         mOrphans.clear();
         mOrphans.addAll(room.orphanedJobs());
+        mLeastNow = mLeastNow.min(free());
     }
 
     /** Returns what is free after the orders that the sidecar has not counted yet. */
@@ -77,6 +84,16 @@
                 && mPlaced.size() < mHealth.allowedTasks(now, Integer.MAX_VALUE);
     }
 
+    void onTick() {
+        mLeastBefore = mLeastNow;
+        mLeastNow = free();
+    }
+
+    /** Returns whether there has been room for a while, which no other entry has taken. */
+    boolean fitsInLeftOvers(Demand demand) {
+        return demand.fitsIn(mLeastBefore) && demand.fitsIn(mLeastNow);
+    }
+
     boolean fits(Demand demand) {
         return demand.fitsIn(free());
     }
@@ -90,5 +107,6 @@
     /** Counts a task that will be in the next order. */
     void reserve(Demand demand) {
         mUncounted.merge(mStarts + 1, demand, Demand::plus);
+        mLeastNow = mLeastNow.min(free());
     }
 }
