Explain a job from the logs of all processes; tell all findings at once

Cause: an operator had to grep and sort lines by hand, and a line of a job does not say that its target had gone silent before it; the demonstration printed its table among log lines; a file with two wrong fields told the first only; a configuration for the platform could not be checked before it was written.

`explain ID [LOGS...]` puts the lines of the job, and those that tell what the processes and targets concerned came to believe, in the order of time. Answers stand in two fields (answer, reason), and a sidecar tells when its target falls silent. `platform check FILE` checks the queues; `check` tells every unknown field and wrong type. The demonstration logs to a file that it names, and prints its table last.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DemoCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DemoCommand.java
@@ -13,6 +13,7 @@
 
     @Override
     public Integer call() {
+        System.out.println("Logs: " + RoleLogs.demoFile());
         return new Demo(System.out).run() ? Main.OK : Main.NEGATIVE;
     }
 }
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ExplainCommand.java
@@ -0,0 +1,66 @@
+package org.jackdawsaddle.pgm;
+
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.explain.JobStory;
+import org.jackdawsaddle.explain.LogCollector;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Tells what became of a job. */
+@Command(
+        name = "explain",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Tells from the logs of all processes what became of a job, in the order of time.",
+            "Lines marked * speak of the job, the others of what had to do with it.",
+            "Exits 1 if no line speaks of the job."
+        })
+final class ExplainCommand implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "ID", description = "The id of the job.")
+    private String mJob;
+
+    @Parameters(
+            index = "1..*",
+            paramLabel = "LOGS",
+            description = {
+                "Logs, each named after its process, or folders of them.",
+                "Without any, standard input, with the process as the last word before each line."
+            })
+    private List<Path> mLogs = List.of();
+
+    @Spec private CommandSpec mSpec;
+
+    @Override
+    public Integer call() {
+        LogCollector collector = new LogCollector(mJob);
+        if (mLogs.isEmpty()) {
+            BufferedReader input =
+                    new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+            collector.read("-", input.lines());
+        }
+        mLogs.forEach(path -> read(collector, path));
+        JobStory story = collector.story();
+        PrintWriter out = mSpec.commandLine().getOut();
+        story.text().forEach(out::println);
+        out.flush();
+        return story.lines().isEmpty() ? Main.NEGATIVE : Main.OK;
+    }
+
+    private static void read(LogCollector collector, Path path) {
+        try {
+            collector.readAll(path);
+        } catch (UncheckedIOException e) {
+            throw new RequestInvalidException("LOGS: " + path + " cannot be read");
+        }
+    }
+}
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -36,6 +36,7 @@
             ForgetCommand.class,
             SettingsCommand.class,
             ReplayCommand.class,
+            ExplainCommand.class,
             DemoCommand.class,
             MeasureCommand.class,
             SwarmCommand.class,
@@ -60,6 +61,7 @@
 
     private static final String ENTRY = "entry";
     private static final String PLATFORM = "platform";
+    private static final String DEMO = "demo";
     private static final String SETTINGS_VARIABLE = "JACKDAWSADDLE_CONFIG";
 
     /** Spares Netty the search for a network interface; the project uses no ids of Netty. */
@@ -73,6 +75,8 @@
         System.setProperty("io.netty.machineId", MACHINE_ID);
         if (startedByPlatform(arguments)) {
             RoleLogs.install();
+        } else if (arguments.length > 0 && arguments[0].equals(DEMO)) {
+            RoleLogs.installForDemo();
         }
         System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
         System.exit(startedByPlatform(arguments) ? runRole(arguments[1]) : run(arguments));
--- /dev/null
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PlatformCheck.java
@@ -0,0 +1,45 @@
+package org.jackdawsaddle.pgm;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.jackdawsaddle.config.Finding;
+import org.jackdawsaddle.errors.RequestInvalidException;
+import org.jackdawsaddle.platform.ConfigurationFile;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Checks a configuration for the platform before it is written to the store. */
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks a configuration before it is written to the platform's store.")
+final class PlatformCheck implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The value of the configuration's key, in JSON.")
+    private Path mFile;
+
+    @Spec private CommandSpec mSpec;
+
+    @Override
+    public Integer call() {
+        List<Finding> findings = ConfigurationFile.check(read());
+        PrintWriter out = mSpec.commandLine().getOut();
+        findings.forEach(finding -> out.println(finding.line()));
+        out.println(findings.size() + " findings");
+        out.flush();
+        return findings.isEmpty() ? Main.OK : Main.NEGATIVE;
+    }
+
+    private String read() {
+        try {
+            return Files.readString(mFile);
+        } catch (IOException e) {
+            throw new RequestInvalidException("FILE: " + mFile + " cannot be read");
+        }
+    }
+}
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PlatformCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PlatformCommand.java
@@ -12,6 +12,7 @@
         subcommands = {
             PlatformCommand.Entry.class,
             PlatformCommand.Sidecar.class,
+            PlatformCheck.class,
             PlatformTrial.class
         })
 final class PlatformCommand {
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/RoleLogs.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/RoleLogs.java
@@ -1,11 +1,16 @@
 package org.jackdawsaddle.pgm;
 
+import java.nio.file.Path;
+import java.util.function.Function;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.Appender;
+import org.apache.logging.log4j.core.Layout;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
 import org.apache.logging.log4j.core.appender.ConsoleAppender;
+import org.apache.logging.log4j.core.appender.FileAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
+import org.apache.logging.log4j.core.config.Configuration;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.LoggerConfig;
@@ -19,44 +24,74 @@
  */
 final class RoleLogs {
     private static final String OWN_LOGGERS = "org.jackdawsaddle";
+    private static final String OUTPUT = "output";
     private static final int BUFFERED_LINES = 1_024;
 
     private RoleLogs() {}
 
     /** Has all loggers use these logs; to be called before the first logger is created. */
     static void install() {
-        Configurator.initialize(new Lines());
+        Configurator.initialize(new Lines(RoleLogs::standardOutput));
+    }
+
+    /** Has all loggers write to the file of the demonstration, whose own output stays readable. */
+    static void installForDemo() {
+        Configurator.initialize(new Lines(RoleLogs::demoOutput));
+    }
+
+    /** Returns where the demonstration of this process logs. */
+    static Path demoFile() {
+        String name = "jackdawsaddle-demo-" + ProcessHandle.current().pid() + ".log";
+        return Path.of(System.getProperty("java.io.tmpdir"), name);
+    }
+
+    private static Appender standardOutput(Configuration configuration) {
+        return ConsoleAppender.newBuilder()
+                .setName(OUTPUT)
+                .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+                .setConfiguration(configuration)
+                .setLayout(layout(configuration))
+                .build();
+    }
+
+    private static Appender demoOutput(Configuration configuration) {
+        return FileAppender.newBuilder()
+                .setName(OUTPUT)
+                .withFileName(demoFile().toString())
+                .setConfiguration(configuration)
+                .setLayout(layout(configuration))
+                .build();
+    }
+
+    private static Layout<?> layout(Configuration configuration) {
+        return JsonTemplateLayout.newBuilder()
+                .setConfiguration(configuration)
+                .setEventTemplateUri("classpath:LogTemplate.json")
+                .build();
     }
 
     /** The appenders and levels. */
     private static final class Lines extends AbstractConfiguration {
-        Lines() {
+        private final transient Function<Configuration, Appender> mOutput;
+
+        Lines(Function<Configuration, Appender> output) {
             super(null, ConfigurationSource.NULL_SOURCE);
             isShutdownHookEnabled = false;
+            mOutput = output;
         }
 
         @Override
         protected void doConfigure() {
-            Appender console =
-                    ConsoleAppender.newBuilder()
-                            .setName("console")
-                            .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-                            .setConfiguration(this)
-                            .setLayout(
-                                    JsonTemplateLayout.newBuilder()
-                                            .setConfiguration(this)
-                                            .setEventTemplateUri("classpath:LogTemplate.json")
-                                            .build())
-                            .build();
-            console.start();
-            addAppender(console);
+            Appender output = mOutput.apply(this);
+            output.start();
+            addAppender(output);
             Appender async =
                     AsyncAppender.newBuilder()
                             .setName("async")
                             .setConfiguration(this)
                             .setAppenderRefs(
                                     new AppenderRef[] {
-                                        AppenderRef.createAppenderRef("console", null, null)
+                                        AppenderRef.createAppenderRef(OUTPUT, null, null)
                                     })
                             .setBlocking(false)
                             .setBufferSize(BUFFERED_LINES)
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/Demo.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/load/Demo.java
@@ -47,15 +47,14 @@
     /** Runs the demonstration; returns whether the promises held. */
     public boolean run() {
         mOut.println("Starting the store, 2 entries, 11 targets and their sidecars ...");
+        List<JobCaller.Answered> ended = new ArrayList<>();
         mFleet.start();
         try {
-            List<CompletableFuture<JobCaller.Answered>> answers = submitAll();
-            List<JobCaller.Answered> ended = new ArrayList<>();
-            answers.forEach(answer -> ended.add(answer.join()));
-            return report(ended);
+            submitAll().forEach(answer -> ended.add(answer.join()));
         } finally {
             mFleet.stop();
         }
+        return report(ended);
     }
 
     private List<CompletableFuture<JobCaller.Answered>> submitAll() {
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
@@ -32,6 +32,7 @@
     private static final int PEER_PORT = 17_720;
     private static final int WORKER_PORT = 18_165;
     private static final double WORKER_CORES = 16;
+    private static final long PATIENCE_MILLIS = 30_000;
     private static final long RESEND_MILLIS = 1_300;
     private static final double GRACE_SECONDS = 1;
     private static final double[] SPEEDS = {0.6, 1.0, 1.6};
@@ -103,6 +104,11 @@
         return mStore;
     }
 
+    /** Returns a worker. */
+    public WorkerStandIn worker(int number) {
+        return mWorkers.get(number);
+    }
+
     /** Publishes the next version of the configuration, with one queue. */
     public void publish() {
         mVersion++;
@@ -134,9 +140,21 @@
         return mCaller.call(call).handle((answer, failure) -> ok(answer)).join();
     }
 
-    /** Sends a job of some tasks alike to an entry. */
+    /** Sends a job of some tasks alike to an entry, and waits long for its answer. */
     public CompletableFuture<HttpAnswer> submit(
             int network, int entry, String id, int tasks, double millis, double cores) {
+        return submit(network, entry, id, tasks, millis, cores, PATIENCE_MILLIS);
+    }
+
+    /** Sends a job of some tasks alike to an entry, and says how long its answer is waited for. */
+    public CompletableFuture<HttpAnswer> submit(
+            int network,
+            int entry,
+            String id,
+            int tasks,
+            double millis,
+            double cores,
+            long patienceMillis) {
         Map<String, Object> step =
                 Map.of(
                         "count",
@@ -155,9 +173,13 @@
                         "POST",
                         address,
                         PREFIX + id,
-                        Map.of("Host", HOST),
+                        Map.of(
+                                "Host",
+                                HOST,
+                                "X-Jackdawsaddle-Deadline-Ms",
+                                Long.toString(patienceMillis)),
                         Json.write(body),
-                        mClock.now() + 30_000));
+                        mClock.now() + PATIENCE_MILLIS));
     }
 
     private static boolean ok(HttpAnswer answer) {
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
@@ -96,6 +96,11 @@
         mCaller.stop();
     }
 
+    /** Lets no run end from now on, or lets them end again. */
+    public synchronized void standStill(boolean standingStill) {
+        mModel.standingStill(standingStill);
+    }
+
     private interface Order {
         void carryOut(HttpServerExchange exchange, OrderBody order);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationReader.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/config/ConfigurationReader.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
-import org.jackdawsaddle.errors.RequestInvalidException;
 import org.jackdawsaddle.internal.json.StrictJson;
 
 /** Reads the objects of any number of JSON files into one set. */
@@ -17,21 +16,26 @@
     /** Reads one more file; what is wrong with it becomes a finding. */
     public void read(Path file) {
         try {
-            mParts.add(StrictJson.read(Files.readString(file), ConfigurationSet.class));
+            String text = Files.readString(file);
+            List<StrictJson.Problem> problems = StrictJson.problems(text, ConfigurationSet.class);
+            problems.forEach(problem -> mFindings.add(finding(file, problem)));
+            if (problems.isEmpty()) {
+                mParts.add(StrictJson.read(text, ConfigurationSet.class));
+            }
         } catch (IOException e) {
             String remedy = "Name a readable file.";
             mFindings.add(new Finding("file " + file, "", "cannot be read.", remedy));
-        } catch (RequestInvalidException e) {
-            int colon = e.detail().indexOf(": ");
-            mFindings.add(
-                    new Finding(
-                            "file " + file,
-                            e.detail().substring(0, colon),
-                            e.detail().substring(colon + 2) + ".",
-                            "Correct the field; docs/OPERATIONS.md lists all of them."));
         }
     }
 
+    private static Finding finding(Path file, StrictJson.Problem problem) {
+        return new Finding(
+                "file " + file,
+                problem.path(),
+                problem.problem() + ".",
+                "Correct the field; docs/OPERATIONS.md lists all of them.");
+    }
+
     /** Returns the objects of all files. */
     public ConfigurationSet set() {
         return new ConfigurationSet(
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/explain/LogCollector.java
@@ -0,0 +1,65 @@
+package org.jackdawsaddle.explain;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Reads the logs of all processes and keeps the lines that may bear on one job: its own, and those
+ * that tell what a process came to believe.
+ */
+public final class LogCollector {
+    private final String mJob;
+    private final List<LogLine> mLines = new ArrayList<>();
+
+    /** Creates a collector that has read nothing. */
+    public LogCollector(String job) {
+        mJob = job;
+    }
+
+    /**
+     * Reads a log, or all logs in a folder; each is named after its process.
+     *
+     * @throws UncheckedIOException if it cannot be read
+     */
+    public void readAll(Path path) {
+        try {
+            if (Files.isDirectory(path)) {
+                try (Stream<Path> files = Files.list(path)) {
+                    files.filter(Files::isRegularFile).sorted().forEach(this::readFile);
+                }
+            } else {
+                readFile(path);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void readFile(Path file) {
+        String name = file.getFileName().toString();
+        int dot = name.indexOf('.');
+        try (Stream<String> lines = Files.lines(file)) {
+            read(dot > 0 ? name.substring(0, dot) : name, lines);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads the lines of a process. */
+    public void read(String process, Stream<String> lines) {
+        lines.map(line -> LogLine.read(process, line))
+                .flatMap(line -> line.stream())
+                .filter(line -> line.speaksOf(mJob) || JobStory.BELIEFS.contains(line.event()))
+                .forEach(mLines::add);
+    }
+
+    /** Returns the story of the job as far as it was read. */
+    public JobStory story() {
+        return new JobStory(mJob, mLines);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/ProblemCollector.java
@@ -0,0 +1,68 @@
+package org.jackdawsaddle.internal.json;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.deser.DeserializationProblemHandler;
+import com.fasterxml.jackson.databind.util.ClassUtil;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Notes every unknown field and wrong type of a text, and reads on. */
+final class ProblemCollector extends DeserializationProblemHandler {
+    private final List<StrictJson.Problem> mProblems = new ArrayList<>();
+
+    List<StrictJson.Problem> problems() {
+        return mProblems;
+    }
+
+    @Override
+    public boolean handleUnknownProperty(
+            DeserializationContext context,
+            JsonParser parser,
+            JsonDeserializer<?> deserializer,
+            Object beanOrClass,
+            String name)
+            throws IOException {
+        note(parser, "unknown field");
+        parser.skipChildren();
+        return true;
+    }
+
+    @Override
+    public Object handleWeirdStringValue(
+            DeserializationContext context, Class<?> type, String value, String failure) {
+        note(context.getParser(), "\"" + value + "\" is no " + type.getSimpleName());
+        return standIn(type);
+    }
+
+    @Override
+    public Object handleUnexpectedToken(
+            DeserializationContext context,
+            JavaType type,
+            JsonToken token,
+            JsonParser parser,
+            String failure)
+            throws IOException {
+        note(parser, "is no " + type.getRawClass().getSimpleName());
+        parser.skipChildren();
+        return standIn(type.getRawClass());
+    }
+
+    private static Object standIn(Class<?> type) {
+        return type.isPrimitive() ? ClassUtil.defaultValue(type) : null;
+    }
+
+    private void note(JsonParser parser, String problem) {
+        String path =
+                parser.getParsingContext()
+                        .pathAsPointer()
+                        .toString()
+                        .substring(1)
+                        .replace('/', '.');
+        mProblems.add(new StrictJson.Problem(path, problem));
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/json/StrictJson.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/StrictJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.List;
 import java.util.stream.Collectors;
 import org.jackdawsaddle.errors.RequestInvalidException;
 
@@ -19,6 +20,30 @@
 
     private StrictJson() {}
 
+    /**
+     * Something wrong in a text.
+     *
+     * @param path the place, as the names of fields and the numbers of elements between points
+     */
+    public record Problem(String path, String problem) {}
+
+    /**
+     * Returns everything that is wrong in a text, as far as its form as JSON lets it be read.
+     *
+     * @param type what the text is meant to hold
+     */
+    public static List<Problem> problems(String json, Class<?> type) {
+        ProblemCollector collector = new ProblemCollector();
+        try {
+            MAPPER.readerFor(type).withHandler(collector).readValue(json);
+        } catch (JsonMappingException e) {
+            collector.problems().add(new Problem(path(e), e.getOriginalMessage()));
+        } catch (JsonProcessingException e) {
+            collector.problems().add(new Problem("body", e.getOriginalMessage()));
+        }
+        return List.copyOf(collector.problems());
+    }
+
     /**
      * Reads a value.
      *
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -36,6 +36,8 @@
     TARGET_BARRED(10),
     /** A target has started a new life. */
     TARGET_FOUND(10),
+    /** A target does not answer its sidecar and gets no new work. */
+    TARGET_SILENT(10),
     /** A sidecar can be given work. */
     SIDECAR_CONNECTED(30),
     /** A sidecar cannot be reached. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -97,7 +97,8 @@
                 .with("configuration", mBoard.mConfiguration.version())
                 .with("waiting_jobs", mBoard.mJobs.size())
                 .with("sidecars", mBoard.mSeats.size())
-                .with("answer", answer)
+                .with("answer", answer.outcome())
+                .with("reason", answer.why().orElse(""))
                 .write();
         answer(token, answer);
     }
@@ -266,7 +267,8 @@
                 .with("job", job.mJob.id())
                 .with("queue", job.mQueue.name())
                 .with("configuration", mBoard.mConfiguration.version())
-                .with("answer", answer)
+                .with("answer", answer.outcome())
+                .with("reason", answer.why().orElse(""))
                 .with("ms", mBoard.mNow - job.mArrivedAt)
                 .with("sent_before_ms", job.mArrivedAt - job.mSentAt)
                 .with("wanted_ms", wantedMillis(job))
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -264,7 +264,7 @@
         mHoldOut = false;
         if (answer.isEmpty()) {
             mCounter.accept(PoolSidecarCounter.HOLDS_UNANSWERED);
-            mContact.unanswered();
+            mContact.unanswered(life);
             mHoldDueAt = mNow + HOLD_RETRY_MILLIS;
             return;
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TargetContact.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TargetContact.java
@@ -1,5 +1,9 @@
 package org.jackdawsaddle.internal.pool;
 
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
+import org.jackdawsaddle.pool.TargetLife;
+
 /** When a target was last heard, and how its steady clock stands to the sidecar's. */
 final class TargetContact {
     /** So many calls in a row without an answer show that a target is silent. */
@@ -32,8 +36,14 @@
         noteClock(clock);
     }
 
-    void unanswered() {
+    void unanswered(TargetLife life) {
         mUnanswered++;
+        if (mUnanswered == MIN_UNRESPONSIVE) {
+            EventLog.line(Event.TARGET_SILENT)
+                    .with("target", life.id())
+                    .with("silent_ms", silentMillis())
+                    .write();
+        }
     }
 
     void noteClock(long clock) {
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/PoolAnswer.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolAnswer.java
@@ -1,5 +1,7 @@
 package org.jackdawsaddle.pool;
 
+import java.util.Optional;
+
 /** The final answer to a job of a pool. */
 public sealed interface PoolAnswer {
 
@@ -13,6 +15,16 @@
         };
     }
 
+    /** Returns why, or nothing where all is well. */
+    default Optional<String> why() {
+        return switch (this) {
+            case Succeeded succeeded -> Optional.empty();
+            case Failed failed -> Optional.of(failed.reason());
+            case Refused refused -> Optional.of(refused.reason());
+            case Abandoned abandoned -> Optional.of(abandoned.reason());
+        };
+    }
+
     /** All tasks have ended well. */
     record Succeeded() implements PoolAnswer {}
 
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolConfigurationChecker.java
@@ -0,0 +1,75 @@
+package org.jackdawsaddle.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jackdawsaddle.config.Finding;
+
+/** Checks the queues of a pool as a whole, before they are put in force. */
+public final class PoolConfigurationChecker {
+    private final List<Finding> mFindings = new ArrayList<>();
+
+    private PoolConfigurationChecker() {}
+
+    /** Returns everything that is wrong. */
+    public static List<Finding> check(PoolConfiguration configuration) {
+        PoolConfigurationChecker checker = new PoolConfigurationChecker();
+        if (configuration.version() <= 0) {
+            checker.add("configuration", "version", "is not above 0.", "Raise it each time.");
+        }
+        configuration.queues().forEach(checker::checkQueue);
+        checker.checkNames(configuration.queues());
+        checker.checkRoutes(configuration.queues());
+        return List.copyOf(checker.mFindings);
+    }
+
+    private void checkQueue(PoolQueue queue) {
+        String object = "queue " + queue.name();
+        if (!queue.prefix().startsWith("/") || !queue.prefix().endsWith("/")) {
+            add(object, "prefix", "does not begin and end with /.", "Add the slashes.");
+        }
+        if (queue.service().isEmpty()) {
+            add(object, "service", "is empty.", "Name the service whose targets run the tasks.");
+        }
+        if (queue.priority() < 0) {
+            add(object, "priority", "is below 0.", "Give 0 to the most urgent queue.");
+        }
+        if (queue.maxAttempts() < 1) {
+            add(object, "maxAttempts", "is below 1.", "Allow at least one attempt.");
+        }
+        if (queue.stretch() < 1) {
+            add(object, "stretch", "is below 1.", "No job ends sooner than its work.");
+        }
+        if (queue.targetMillis() < 0) {
+            add(object, "targetMillis", "is below 0.", "Give the time beyond the work.");
+        }
+    }
+
+    private void checkNames(List<PoolQueue> queues) {
+        Map<String, PoolQueue> known = new HashMap<>();
+        for (PoolQueue queue : queues) {
+            if (known.putIfAbsent(queue.name(), queue) != null) {
+                add("queue " + queue.name(), "name", "is given twice.", "Rename one of them.");
+            }
+        }
+    }
+
+    private void checkRoutes(List<PoolQueue> queues) {
+        Map<String, PoolQueue> known = new HashMap<>();
+        for (PoolQueue queue : queues) {
+            PoolQueue other = known.putIfAbsent(queue.host() + queue.prefix(), queue);
+            if (other != null) {
+                add(
+                        "queue " + queue.name(),
+                        "prefix",
+                        "is that of queue " + other.name() + " at the same host.",
+                        "Jobs cannot tell them apart: change one.");
+            }
+        }
+    }
+
+    private void add(String object, String path, String problem, String remedy) {
+        mFindings.add(new Finding(object, path, problem, remedy));
+    }
+}
