Ask a silent target on; shorten leases and do not extend them in a silence

Cause 1, found while reading: a target that had left three calls in a row unanswered took no new work until it answered, but was asked only while runs were held there: once they were lost, nobody asked again, and the target stayed out until its next life. servesAgainOnceASilentTargetAnswers failed first.

Leases are 700 ms now (each call takes 80 ms when all is well), and none is extended while a call is unanswered.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
@@ -226,6 +226,55 @@
         assertTrue(mCore.serving());
     }
 
+    @Test
+    public void takesTheRunsOfASilentTargetAsLostOnceTheirLeaseIsSurelyOver() {
+        start(RUN, 1);
+        handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
+        answerHold(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
+        long heardAt = mNow;
+        long promised = beSilent(6);
+        assertTrue(mNow - heardAt > promised, "the lease is not cut short");
+        assertEquals(reports(), List.of(new TaskReport(RUN, ReportKind.ENDED)));
+        assertTrue(mNow - heardAt <= 1_200, "after " + (mNow - heardAt));
+    }
+
+    @Test
+    public void servesAgainOnceASilentTargetAnswers() {
+        start(RUN, 1);
+        handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
+        beSilent(20);
+        assertFalse(mCore.serving());
+        assertEquals(actions(PoolSidecarAction.Hold.class).size(), 1, "it is asked on and on");
+        reports();
+        answerHold(List.of(), List.of());
+        assertTrue(mCore.serving());
+        start(OTHER, 1);
+        List<PoolSidecarAction.StartRun> orders = actions(PoolSidecarAction.StartRun.class);
+        long lead = orders.get(orders.size() - 1).leaseUntil();
+        assertTrue(lead > PoolTiming.TICK_MILLIS, "a full lease after the silence");
+    }
+
+    /**
+     * Lets calls for lists go unanswered, each for as long as the adapter waits.
+     *
+     * @return the end of the longest lease that was asked for, on the target's clock, which stood
+     *     at 0 in its last answer
+     */
+    private long beSilent(int calls) {
+        long promised = 0;
+        for (int call = 0; call < calls; call++) {
+            for (PoolSidecarAction.Hold hold : actions(PoolSidecarAction.Hold.class)) {
+                promised = Math.max(promised, hold.leaseUntil().orElse(0L));
+            }
+            mNow += 130;
+            handle(new PoolSidecarEvent.ListsAnswered(mLife, mHold, Optional.empty()));
+            mNow += 50;
+            handle(new PoolSidecarEvent.EntrySent(ENTRY, new PoolMessage.Ping(0)));
+            handle(new PoolSidecarEvent.Tick());
+        }
+        return promised;
+    }
+
     private static TargetLife life(long startedAt, long sequence, boolean leaving) {
         return new TargetLife(
                 "target",
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -17,6 +17,12 @@
     /** How long a sidecar lets runs of an entry go on without a connection to it. */
     public static final long RECONNECT_MILLIS = 300;
 
+    /**
+     * Leases that a sidecar asks for, if its target grants as much: a few calls for lists long, and
+     * short, as the tasks of a target that goes silent wait for their end.
+     */
+    public static final long LEASE_MILLIS = 700;
+
     /** How much longer than asked a lease may last, as a target's clock may be slow. */
     public static final long LEASE_SLACK_MILLIS = 50;
 
@@ -30,7 +36,8 @@
      * @param leaseMillis the longest lease that a target grants
      */
     public static long goneMillis(long leaseMillis) {
-        return 2 * SILENCE_MILLIS + RECONNECT_MILLIS + leaseMillis + LEASE_SLACK_MILLIS;
+        long lease = Math.min(leaseMillis, LEASE_MILLIS);
+        return 2 * SILENCE_MILLIS + RECONNECT_MILLIS + lease + LEASE_SLACK_MILLIS;
     }
 
     private PoolTiming() {}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -352,7 +352,11 @@
 
     /** Orders a call for lists if anything runs, if ends wait to be confirmed, or at first. */
     void holdIfDue() {
-        boolean wanted = !mHeld.isEmpty() || !mClean || mToldConfirmed != mConfirmed;
+        boolean wanted =
+                !mHeld.isEmpty()
+                        || !mClean
+                        || mToldConfirmed != mConfirmed
+                        || !mContact.responsive();
         if (mTarget.isEmpty() || mHoldOut || !wanted || mNow < mHoldDueAt) {
             return;
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TargetContact.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TargetContact.java
@@ -18,8 +18,11 @@
     private long mClockLead;
     private int mUnanswered;
 
+    /** The end of the longest lease that the target was asked for. */
+    private long mPromisedUntil;
+
     TargetContact(long leaseMillis) {
-        mLeaseMillis = leaseMillis;
+        mLeaseMillis = Math.min(leaseMillis, PoolTiming.LEASE_MILLIS);
     }
 
     void at(long now) {
@@ -55,9 +58,15 @@
         return mUnanswered < MIN_UNRESPONSIVE;
     }
 
-    /** Returns the end of the longest lease that the target grants now, on its clock. */
+    /**
+     * Returns until when the target may run what it is told to, on its clock. Leases are not
+     * extended while a call is unanswered, so that what a silent target runs ends soon.
+     */
     long leaseEnd() {
-        return mNow + mClockLead + mLeaseMillis;
+        if (mUnanswered == 0 || mNow > mPromisedUntil) {
+            mPromisedUntil = Math.max(mPromisedUntil, mNow + mLeaseMillis);
+        }
+        return mPromisedUntil + mClockLead;
     }
 
     /** Returns whether the target may have ended its leases, so that renewing may harm. */
@@ -66,12 +75,12 @@
     }
 
     /**
-     * Returns whether the target has been silent for longer than any lease lasts. The clock alone
-     * does not tell, as it leaps when the instance was suspended or its time of day was set.
+     * Returns whether the target has ended all its leases. The clock alone does not tell, as it
+     * leaps when the instance was suspended or its time of day was set.
      */
     boolean leasesAreOver() {
         return mUnanswered >= MIN_UNANSWERED
-                && silentMillis() > 2 * (mLeaseMillis + PoolTiming.LEASE_SLACK_MILLIS);
+                && mNow > mPromisedUntil + PoolTiming.LEASE_SLACK_MILLIS;
     }
 
     long silentMillis() {
