Ignore hang-ups until a role watches its settings

It is ignored now from the first line on; the settings are read after it. The first moments of the Java process itself remain.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -6,6 +6,7 @@
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import sun.misc.Signal;
 
 /** The command line: one subcommand for each role and for each task of an operator. */
 @Command(
@@ -74,6 +75,8 @@
         System.setProperty("org.jboss.logging.provider", "log4j2");
         System.setProperty("io.netty.machineId", MACHINE_ID);
         if (startedByPlatform(arguments)) {
+            // A hang-up before the role watches its settings would end the process.
+            Signal.handle(new Signal("HUP"), signal -> {});
             RoleLogs.install();
         } else if (arguments.length > 0 && arguments[0].equals(DEMO)) {
             RoleLogs.installForDemo();
