Do not run what is read right after a pause in which it may have been sent again

A request that is read within 250 ms after a pause of this process of a resend pause or longer is abandoned (504): a caller that is still there sends it again. Ruled out: looking for the end of the connection behind the request (not possible without reading on), and asking the other entries (a message more, and no answer from those that are cut off).

A request that the network alone holds up for so long is listed as not covered.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -234,6 +234,19 @@
         assertTrue(mCore.ready(), "sidecars are still connected");
     }
 
+    @Test
+    public void doesNotRunWhatItReadsRightAfterAPauseInWhichItMayHaveBeenSentAgain() {
+        mNow += RESEND_MILLIS - 1;
+        submit("aa", 1, 4);
+        assertEquals(mAnswers, List.of(), "too short a pause for that");
+        mNow += RESEND_MILLIS;
+        submit("bb", 1, 4);
+        assertTrue(mAnswers.get(0) instanceof PoolAnswer.Abandoned);
+        pass(2 * PoolTiming.PING_MILLIS);
+        submit("cc", 1, 4);
+        assertEquals(mAnswers.size(), 1, mAnswers.toString());
+    }
+
     @Test
     public void keepsTheLaterConfiguration() {
         configure(5);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -64,11 +64,27 @@
         } else if (kept != null) {
             mBoard.count(PoolEntryCounter.JOBS_JOINED);
             answer(token, kept.answer());
+        } else if (mBoard.requestAge() >= mResendMillis) {
+            abandonStale(token, job);
         } else {
             admit(token, job);
         }
     }
 
+    /** Its caller may have sent it again meanwhile, to an entry that runs it. */
+    private void abandonStale(long token, PoolJob job) {
+        mBoard.count(PoolEntryCounter.JOBS_ABANDONED);
+        String reason = "may have waited here while this process stood still";
+        EventLog.line(Event.JOB_ENDED)
+                .with("job", job.id())
+                .with("queue", job.queue())
+                .with("answer", "abandoned")
+                .with("reason", reason)
+                .with("paused_ms", mBoard.requestAge())
+                .write();
+        answer(token, new PoolAnswer.Abandoned(reason));
+    }
+
     private void admit(long token, PoolJob job) {
         Optional<PoolQueue> queue = mBoard.mConfiguration.queue(job.queue());
         if (queue.isEmpty()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
@@ -15,6 +15,12 @@
     /** How long after a start sidecars may take to be found: two announcements of a target. */
     private static final long DISCOVERY_MILLIS = 3_000;
 
+    /** Events that lie further apart than this, in milliseconds, show a pause of this process. */
+    private static final long PAUSE_MILLIS = 300;
+
+    /** How long after a pause requests may come that had waited in connections all the while. */
+    private static final long BACKLOG_MILLIS = 250;
+
     /** How long after the first sidecar the others may take to connect. */
     private static final long SETTLE_MILLIS = 150;
 
@@ -36,12 +42,23 @@
     long mNow;
     private long mStartedAt;
     private long mServingAt;
+    private long mWokeAt;
+    private long mPausedMillis;
 
     void at(long now) {
+        if (mNow > 0 && now - mNow > PAUSE_MILLIS) {
+            mWokeAt = now;
+            mPausedMillis = now - mNow;
+        }
         mNow = now;
         mStartedAt = mStartedAt == 0 ? now : mStartedAt;
     }
 
+    /** Returns the age that a request may have which is read now, in milliseconds. */
+    long requestAge() {
+        return mNow - mWokeAt < BACKLOG_MILLIS ? mPausedMillis : 0;
+    }
+
     /** Notes that a sidecar serves. */
     void noteServing() {
         mServingAt = mServingAt == 0 ? mNow : mServingAt;
