Soak the roles on the platform under faults brought from outside

It watches that no task has two runs at a time, no worker holds more than fits, nothing refused has run, all that succeeded has run, and that within 12 s after the faults all is served by the last configuration and nothing is left behind.

Not covered: faults between entries and sidecars.

--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPicture.java
@@ -73,6 +73,7 @@
                                     "worker-" + worker,
                                     "ledger",
                                     ip + ":" + WORKER_PORT,
+                                    ip + ":" + WORKER_PORT,
                                     settings.announcementAddress(),
                                     WORKER_CORES,
                                     SPEEDS[worker % SPEEDS.length]),
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jackdawsaddle.pool.TargetLists;
 import org.jackdawsaddle.pool.TargetPort.StartReply;
 
@@ -26,6 +28,7 @@
     private final long mStartedAt;
     private final Map<String, Running> mRunning = new LinkedHashMap<>();
     private final Map<String, Integer> mBarred = new HashMap<>();
+    private final Set<String> mStarted = new HashSet<>();
     private final List<TargetLists.Ended> mEnded = new ArrayList<>();
     private long mFence;
     private long mLeaseUntil;
@@ -80,6 +83,11 @@
         return List.copyOf(mRunning.keySet());
     }
 
+    /** Returns the tasks that were ever started. */
+    public Set<String> startedTasks() {
+        return Set.copyOf(mStarted);
+    }
+
     /** Lets time pass: runs end, and so may the lease. */
     public void advance(long now) {
         if (!mRunning.isEmpty() && clock(now) >= mLeaseUntil) {
@@ -115,6 +123,7 @@
         long millis = Math.round(Double.parseDouble(words[0]) / mSpeed);
         Running started = new Running(task, run, Double.parseDouble(words[1]), now + millis);
         mRunning.put(task, started);
+        mStarted.add(task);
         if (mFailing) {
             end(started, TargetLists.How.FAILED);
         }
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
@@ -3,8 +3,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RoutingHandler;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -31,12 +33,14 @@
      * What a worker stand-in is told.
      *
      * @param address where it takes orders, as host:port
+     * @param announcedAddress where its sidecar is told to send orders, as host:port
      * @param sidecarAddress where it announces itself, as host:port
      */
     public record WorkerConfig(
             String id,
             String service,
             String address,
+            String announcedAddress,
             String sidecarAddress,
             double cores,
             double speed) {}
@@ -59,10 +63,11 @@
 
     private final WorkerConfig mConfig;
     private final UnixClock mClock;
-    private final WorkerModel mModel;
+    private WorkerModel mModel;
     private final HttpCaller mCaller;
     private final HttpServer mServer;
     private final List<Waiting> mWaiting = new ArrayList<>();
+    private final Set<String> mEarlierTasks = new HashSet<>();
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
                     Thread.ofPlatform().daemon().name("worker-timer").factory());
@@ -101,6 +106,36 @@
         mModel.standingStill(standingStill);
     }
 
+    /** Makes every run fail as soon as it starts, or end well again. */
+    public synchronized void failing(boolean failing) {
+        mModel.failing(failing);
+    }
+
+    /** Ends this life without notice: what ran is gone, and a new life begins at the same place. */
+    public synchronized void beginAnew() {
+        mEarlierTasks.addAll(mModel.startedTasks());
+        mModel = new WorkerModel(mConfig.cores(), mConfig.speed(), mClock.now());
+        mAnnouncements = 0;
+    }
+
+    /** Returns what runs now. */
+    public synchronized List<String> runningTasks() {
+        mModel.advance(mClock.now());
+        return mModel.runningTasks();
+    }
+
+    /** Returns the cores that are taken now. */
+    public synchronized double usedCores() {
+        return mModel.usedCores();
+    }
+
+    /** Returns the tasks that were ever started here. */
+    public synchronized Set<String> startedTasks() {
+        Set<String> tasks = new HashSet<>(mEarlierTasks);
+        tasks.addAll(mModel.startedTasks());
+        return tasks;
+    }
+
     private interface Order {
         void carryOut(HttpServerExchange exchange, OrderBody order);
     }
@@ -184,13 +219,13 @@
         };
     }
 
-    private void announce() {
+    private synchronized void announce() {
         long now = mClock.now();
         mAnnouncements++;
         Map<String, Object> body =
                 Map.of(
                         "service", mConfig.service(),
-                        "address", mConfig.address(),
+                        "address", mConfig.announcedAddress(),
                         "state", "ready",
                         "capacity",
                                 Map.of(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
@@ -16,15 +16,34 @@
     private static final List<String> FLAGS =
             List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx128m", "-Xshare:auto");
 
-    private final String mRole;
+    private static final String SETTINGS_VARIABLE = "JACKDAWSADDLE_CONFIG";
+
+    private final List<String> mArguments;
     private final Path mSettings;
     private final File mLog;
     private Process mProcess;
 
     ChildProcess(Path folder, String role, String name, Object settings) {
-        mRole = role;
         mSettings = folder.resolve(name + ".json");
         mLog = folder.resolve(name + ".log").toFile();
+        mArguments = List.of(role, "-s", mSettings.toString());
+        write(settings);
+    }
+
+    private ChildProcess(Path folder, List<String> arguments, String name, Object settings) {
+        mSettings = folder.resolve(name + ".json");
+        mLog = folder.resolve(name + ".log").toFile();
+        mArguments = arguments;
+        write(settings);
+    }
+
+    /** Returns a role as the platform runs it, which finds its settings by a variable. */
+    static ChildProcess onPlatform(Path folder, String role, String name, Object settings) {
+        return new ChildProcess(folder, List.of("platform", role), name, settings);
+    }
+
+    /** Replaces the settings file; the process reads it when it is told to, or notices. */
+    void write(Object settings) {
         try {
             Files.writeString(mSettings, Json.write(settings));
         } catch (IOException e) {
@@ -37,13 +56,15 @@
         command.add(ProcessHandle.current().info().command().orElseThrow());
         command.addAll(FLAGS);
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-        command.addAll(List.of("org.jackdawsaddle.pgm.Main", mRole, "-s", mSettings.toString()));
+        command.add("org.jackdawsaddle.pgm.Main");
+        command.addAll(mArguments);
+        ProcessBuilder builder =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(mLog));
+        builder.environment().put(SETTINGS_VARIABLE, mSettings.toString());
         try {
-            mProcess =
-                    new ProcessBuilder(command)
-                            .redirectErrorStream(true)
-                            .redirectOutput(ProcessBuilder.Redirect.appendTo(mLog))
-                            .start();
+            mProcess = builder.start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -61,6 +82,19 @@
         await();
     }
 
+    /** Tells the process to read its settings again. */
+    void hangUp() {
+        signal("HUP");
+    }
+
+    boolean alive() {
+        return mProcess.isAlive();
+    }
+
+    int exitCode() {
+        return mProcess.exitValue();
+    }
+
     void freeze() {
         signal("STOP");
     }
@@ -90,7 +124,7 @@
     private void await() {
         try {
             if (!mProcess.waitFor(STOP_PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException(mRole + " does not end");
+                throw new IllegalStateException(mArguments + " does not end");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/LinkProxy.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/LinkProxy.java
@@ -22,6 +22,7 @@
     private volatile boolean mHoldRequests;
     private volatile boolean mHoldAnswers;
     private volatile boolean mRefuse;
+    private volatile long mDelayMillis;
     private ServerSocket mServer;
 
     LinkProxy(String listen, String forward) {
@@ -52,6 +53,11 @@
         mHoldAnswers = answers;
     }
 
+    /** Delays each piece of bytes, in both directions. */
+    void delay(long millis) {
+        mDelayMillis = millis;
+    }
+
     /** Ends all connections; new ones are refused until told otherwise. */
     void cut(boolean refuse) {
         mRefuse = refuse;
@@ -95,6 +101,9 @@
                 while (requests ? mHoldRequests : mHoldAnswers) {
                     ProcessFleet.pause(HOLD_MILLIS);
                 }
+                if (mDelayMillis > 0) {
+                    ProcessFleet.pause(mDelayMillis);
+                }
                 out.write(buffer, 0, read);
                 out.flush();
             }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessFleet.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ProcessFleet.java
@@ -206,7 +206,7 @@
         }
     }
 
-    private static Path folder() {
+    static Path folder() {
         try {
             return Files.createTempDirectory("jackdawsaddle-test");
         } catch (IOException e) {
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakWatch.java
@@ -0,0 +1,70 @@
+package org.jackdawsaddle.process;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jackdawsaddle.standin.platform.WorkerStandIn;
+
+/** Watches what the workers run, for promises that do not hold. */
+final class SoakWatch {
+    private static final long POLL_MILLIS = 2;
+    private static final double ROUNDING = 1e-6;
+
+    private final List<WorkerStandIn> mWorkers;
+    private final Set<String> mBroken = ConcurrentHashMap.newKeySet();
+    private volatile boolean mStopping;
+
+    SoakWatch(List<WorkerStandIn> workers) {
+        mWorkers = workers;
+    }
+
+    void start() {
+        Thread.ofPlatform().daemon().name("soak-watch").start(this::run);
+    }
+
+    void stop() {
+        mStopping = true;
+    }
+
+    /** Returns the promises that were seen broken. */
+    List<String> broken() {
+        return List.copyOf(mBroken);
+    }
+
+    private void run() {
+        while (!mStopping) {
+            look();
+            ProcessFleet.pause(POLL_MILLIS);
+        }
+    }
+
+    private void look() {
+        Map<String, WorkerStandIn> seen = new HashMap<>();
+        for (WorkerStandIn worker : mWorkers) {
+            if (worker.usedCores() > SoakFleet.CORES + ROUNDING) {
+                mBroken.add("more runs than there is room for");
+            }
+            for (String task : worker.runningTasks()) {
+                WorkerStandIn other = seen.putIfAbsent(task, worker);
+                // The other one may have ended it since it was looked at.
+                if (other != null && other.runningTasks().contains(task)) {
+                    mBroken.add("two runs at a time of " + task);
+                }
+            }
+        }
+    }
+
+    /** Returns the tasks that were ever started. */
+    Set<String> startedTasks() {
+        Set<String> tasks = new HashSet<>();
+        mWorkers.forEach(worker -> tasks.addAll(worker.startedTasks()));
+        return tasks;
+    }
+
+    boolean idle() {
+        return mWorkers.stream().allMatch(worker -> worker.runningTasks().isEmpty());
+    }
+}
