Keep the plan of loopback addresses and the platform's texts in one place

The soak wrote the same settings, routes and jobs as PlatformPicture: PlatformPlan holds them for both, and PlatformPicture no longer asks for its network at every call.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PlatformTrial.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/PlatformTrial.java
@@ -7,6 +7,7 @@
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.standin.platform.PlatformPicture;
+import org.jackdawsaddle.standin.platform.PlatformPlan;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -51,7 +52,7 @@
             throws InterruptedException {
         long deadline = clock.now() + READY_PATIENCE_MILLIS;
         for (int entry = 0; entry < ENTRIES; entry++) {
-            while (!picture.ready(NETWORK, entry) && clock.now() < deadline) {
+            while (!picture.ready(entry) && clock.now() < deadline) {
                 Thread.sleep(POLL_MILLIS);
             }
         }
@@ -61,7 +62,11 @@
         List<CompletableFuture<HttpAnswer>> answers = new ArrayList<>();
         for (int job = 0; job < mJobs; job++) {
             String id = String.format("%016x", job);
-            answers.add(picture.submit(NETWORK, job % ENTRIES, id, WIDTH, WORK_MILLIS, WORK_CORES));
+            answers.add(
+                    picture.submit(
+                            job % ENTRIES,
+                            id,
+                            new PlatformPlan.Work(WIDTH, WORK_MILLIS, WORK_CORES)));
             Thread.sleep(PAUSE_MILLIS);
         }
         return answers.stream()
--- /dev/null
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPlan.java
@@ -0,0 +1,201 @@
+package org.jackdawsaddle.standin.platform;
+
+import java.util.List;
+import java.util.Map;
+import org.jackdawsaddle.internal.http.HttpCall;
+import org.jackdawsaddle.internal.json.Json;
+import org.jackdawsaddle.platform.PlatformSettings;
+
+/**
+ * Who stands where on loopback, and what the platform, its operator and its callers write there:
+ * settings, configurations and jobs.
+ */
+public final class PlatformPlan {
+    /** The cores of each worker. */
+    public static final double WORKER_CORES = 16;
+
+    private static final String HOST = "bulls.example";
+    private static final String SERVICE = "ledger";
+    private static final int CALLER_PORT = 18_161;
+    private static final int READINESS_PORT = 18_167;
+    private static final int ANNOUNCEMENT_PORT = 18_166;
+    private static final int PEER_PORT = 17_720;
+    private static final int WORKER_PORT = 18_165;
+    private static final int STORE_PORT = 18_169;
+    private static final int METRICS_PORT = 9_464;
+    private static final int STORE_HOST = 1;
+    private static final int FIRST_ENTRY_HOST = 2;
+    private static final int FIRST_SIDECAR_HOST = 100;
+    private static final long RESEND_MILLIS = 1_300;
+    private static final double GRACE_SECONDS = 1;
+    private static final double[] SPEEDS = {0.6, 1.0, 1.6};
+    private static final int MILLI = 1_000;
+
+    private final int mNetwork;
+
+    /**
+     * Creates a plan.
+     *
+     * @param network the second number of all addresses, 1 to 254, for plans side by side
+     */
+    public PlatformPlan(int network) {
+        mNetwork = network;
+    }
+
+    /** Returns where the store listens. */
+    public String storeAddress() {
+        return near(STORE_HOST) + ":" + STORE_PORT;
+    }
+
+    /** Returns where a link to the store may listen. */
+    public String storeLinkAddress() {
+        return far(STORE_HOST) + ":" + STORE_PORT;
+    }
+
+    /** Returns where callers reach an entry. */
+    public String callerAddress(int entry) {
+        return near(FIRST_ENTRY_HOST + entry) + ":" + CALLER_PORT;
+    }
+
+    /** Returns where an entry tells whether it is ready. */
+    public String readinessAddress(int entry) {
+        return near(FIRST_ENTRY_HOST + entry) + ":" + READINESS_PORT;
+    }
+
+    /** Returns where an entry tells its metrics. */
+    public String metricsAddress(int entry) {
+        return near(FIRST_ENTRY_HOST + entry) + ":" + METRICS_PORT;
+    }
+
+    /** Returns where a worker takes orders. */
+    public String workerAddress(int worker) {
+        return near(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
+    }
+
+    /** Returns where a link to a worker may listen. */
+    public String workerLinkAddress(int worker) {
+        return far(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
+    }
+
+    /** Returns an entry's address as a seed. */
+    public String seed(int entry) {
+        return near(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
+    }
+
+    /** Returns the settings of an entry. */
+    public PlatformSettings entry(int entry, List<String> seeds, String storeAddress) {
+        return settings("entry-" + entry, near(FIRST_ENTRY_HOST + entry), seeds, storeAddress);
+    }
+
+    /** Returns the settings of a sidecar. */
+    public PlatformSettings sidecar(int sidecar, List<String> seeds, String storeAddress) {
+        String ip = near(FIRST_SIDECAR_HOST + sidecar);
+        return settings("sidecar-" + sidecar, ip, seeds, storeAddress);
+    }
+
+    private static PlatformSettings settings(
+            String name, String ip, List<String> seeds, String storeAddress) {
+        return new PlatformSettings(
+                name,
+                "here",
+                ip,
+                ip + ":" + CALLER_PORT,
+                ip + ":" + READINESS_PORT,
+                ip + ":" + ANNOUNCEMENT_PORT,
+                PEER_PORT,
+                seeds,
+                storeAddress,
+                WorkerModel.LEASE_MILLIS,
+                RESEND_MILLIS,
+                GRACE_SECONDS);
+    }
+
+    /**
+     * Returns what a worker is told.
+     *
+     * @param announcedAddress where its sidecar is told to send orders, as host:port
+     */
+    public WorkerStandIn.WorkerConfig worker(int worker, String announcedAddress) {
+        return new WorkerStandIn.WorkerConfig(
+                "worker-" + worker,
+                SERVICE,
+                workerAddress(worker),
+                announcedAddress,
+                near(FIRST_SIDECAR_HOST + worker) + ":" + ANNOUNCEMENT_PORT,
+                WORKER_CORES,
+                SPEEDS[worker % SPEEDS.length]);
+    }
+
+    /** Returns a configuration as the operator writes it, with queues of the given names. */
+    public static String configuration(long version, List<String> queues) {
+        List<Map<String, Object>> routes = queues.stream().map(PlatformPlan::route).toList();
+        return Json.write(Map.of("version", version, "routes", routes));
+    }
+
+    private static Map<String, Object> route(String name) {
+        return Map.of(
+                "name",
+                name,
+                "host",
+                HOST,
+                "prefix",
+                "/" + name + "/",
+                "service",
+                SERVICE,
+                "priority",
+                0,
+                "maxAttempts",
+                3,
+                "stretch",
+                1.6,
+                "targetDurationMs",
+                60,
+                "timeoutMs",
+                1_500);
+    }
+
+    /**
+     * What a caller asks for: some tasks alike.
+     *
+     * @param millis the work of each at speed 1, in milliseconds
+     * @param cores the cores that each takes
+     */
+    public record Work(int tasks, double millis, double cores) {}
+
+    /**
+     * Returns the call that hands a job in.
+     *
+     * @param statedMillis how long the caller says that it waits
+     * @param until when it stops waiting, in milliseconds since the epoch
+     */
+    public HttpCall job(
+            int entry, String queue, String id, Work work, long statedMillis, long until) {
+        Map<String, Object> step =
+                Map.of(
+                        "count", work.tasks(),
+                        "cpu", Math.round(work.cores() * MILLI),
+                        "memMb", 64,
+                        "estimateMs", Math.round(work.millis()));
+        Map<String, Object> body =
+                Map.of(
+                        "spec",
+                        work.millis() + " " + work.cores(),
+                        "steps",
+                        List.of(step),
+                        "bestEffort",
+                        true);
+        Map<String, String> headers =
+                Map.of("Host", HOST, "X-Jackdawsaddle-Deadline-Ms", Long.toString(statedMillis));
+        String path = "/" + queue + "/" + id;
+        return new HttpCall("POST", callerAddress(entry), path, headers, Json.write(body), until);
+    }
+
+    private String near(int number) {
+        return "127." + mNetwork + ".0." + number;
+    }
+
+    /** Returns the address at which the link to the same number listens. */
+    private String far(int number) {
+        return "127." + mNetwork + ".1." + number;
+    }
+}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
@@ -2,14 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jackdawsaddle.internal.http.HttpAnswer;
 import org.jackdawsaddle.internal.http.HttpCall;
-import org.jackdawsaddle.internal.json.Json;
+import org.jackdawsaddle.standin.platform.PlatformPlan;
 
 /** Callers that send jobs, and send them again to any entry when no answer comes. */
 final class SoakCallers {
@@ -62,56 +61,34 @@
                         String.format("%016x", mRandom.nextLong()),
                         1 + mRandom.nextInt(MOST_TASKS));
         mSent.add(sent);
-        int millis = 1 + mRandom.nextInt(MOST_MILLIS);
-        int cores = 1 + mRandom.nextInt(MOST_CORES);
-        String body =
-                Json.write(
-                        Map.of(
-                                "spec",
-                                millis + " " + cores,
-                                "bestEffort",
-                                true,
-                                "steps",
-                                List.of(
-                                        Map.of(
-                                                "count",
-                                                sent.mTasks,
-                                                "cpu",
-                                                cores * 1_000,
-                                                "memMb",
-                                                64,
-                                                "estimateMs",
-                                                millis))));
-        mOut.add(send(sent, body, mRandom.nextInt(SoakFleet.ENTRIES), 1));
+        PlatformPlan.Work work =
+                new PlatformPlan.Work(
+                        sent.mTasks,
+                        1 + mRandom.nextInt(MOST_MILLIS),
+                        1 + mRandom.nextInt(MOST_CORES));
+        mOut.add(send(sent, work, mRandom.nextInt(SoakFleet.ENTRIES), 1));
     }
 
-    private CompletableFuture<Void> send(Sent sent, String body, int entry, int number) {
+    private CompletableFuture<Void> send(Sent sent, PlatformPlan.Work work, int entry, int number) {
+        long until = mFleet.mClock.now() + PATIENCE_MILLIS;
         HttpCall call =
-                new HttpCall(
-                        "POST",
-                        mFleet.callerAddress(entry),
-                        SoakFleet.PREFIX + sent.mId,
-                        Map.of(
-                                "Host",
-                                SoakFleet.HOST,
-                                "X-Jackdawsaddle-Deadline-Ms",
-                                Long.toString(PATIENCE_MILLIS)),
-                        body,
-                        mFleet.mClock.now() + PATIENCE_MILLIS);
+                mFleet.mPlan.job(entry, SoakFleet.QUEUE, sent.mId, work, PATIENCE_MILLIS, until);
+        int next = (entry + 1) % SoakFleet.ENTRIES;
         return mFleet.mCaller
                 .call(call)
                 .handle((answer, failure) -> note(sent, answer))
                 .thenCompose(again ->
                         again && number < MOST_SENDS
-                                ? later(sent, body, (entry + 1) % SoakFleet.ENTRIES, number + 1)
+                                ? later(sent, work, next, number + 1)
                                 : CompletableFuture.completedFuture(null));
     }
 
-    private CompletableFuture<Void> later(Sent sent, String body, int entry, int number) {
+    private CompletableFuture<Void> later(
+            Sent sent, PlatformPlan.Work work, int entry, int number) {
         return CompletableFuture.supplyAsync(
                         () -> null,
                         CompletableFuture.delayedExecutor(RESEND_MILLIS, TimeUnit.MILLISECONDS))
-                .thenCompose(nothing -> send(sent, body, entry, number));
+                .thenCompose(nothing -> send(sent, work, entry, number));
     }
 
     /** Notes an answer; returns whether the job is to be sent again. */
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakWatch.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakWatch.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.jackdawsaddle.standin.platform.PlatformPlan;
 import org.jackdawsaddle.standin.platform.WorkerStandIn;
 
 /** Watches what the workers run, for promises that do not hold. */
@@ -44,7 +45,7 @@
     private void look() {
         Map<String, WorkerStandIn> seen = new HashMap<>();
         for (WorkerStandIn worker : mWorkers) {
-            if (worker.usedCores() > SoakFleet.CORES + ROUNDING) {
+            if (worker.usedCores() > PlatformPlan.WORKER_CORES + ROUNDING) {
                 mBroken.add("more runs than there is room for");
             }
             for (String task : worker.runningTasks()) {
