Keep what an entry knows of its own time in one class; remember a long pause through short ones

Reading as a newcomer: PoolBoard had grown a clock; ProcessTime holds the start, the first sidecar and pauses. What counts as a pause was written twice and stands in PoolTiming now.

Found on the way: a pause that was just long enough to show (0.3 s), while the backlog of a long one was being read, made requests of that backlog count as fresh. The longer one counts now, with a test that failed first.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -242,9 +242,12 @@
         mNow += RESEND_MILLIS;
         submit("bb", 1, 4);
         assertTrue(mAnswers.get(0) instanceof PoolAnswer.Abandoned);
+        mNow += PoolTiming.OWN_PAUSE_MILLIS + 1;
+        submit("dd", 1, 4);
+        assertTrue(mAnswers.get(1) instanceof PoolAnswer.Abandoned, "busy with the backlog");
         pass(2 * PoolTiming.PING_MILLIS);
         submit("cc", 1, 4);
-        assertEquals(mAnswers.size(), 1, mAnswers.toString());
+        assertEquals(mAnswers.size(), 2, mAnswers.toString());
     }
 
     @Test
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -64,7 +64,7 @@
         } else if (kept != null) {
             mBoard.count(PoolEntryCounter.JOBS_JOINED);
             answer(token, kept.answer());
-        } else if (mBoard.requestAge() >= mResendMillis) {
+        } else if (mBoard.mTime.requestAge() >= mResendMillis) {
             abandonStale(token, job);
         } else {
             admit(token, job);
@@ -80,7 +80,7 @@
                 .with("queue", job.queue())
                 .with("answer", "abandoned")
                 .with("reason", reason)
-                .with("paused_ms", mBoard.requestAge())
+                .with("paused_ms", mBoard.mTime.requestAge())
                 .write();
         answer(token, new PoolAnswer.Abandoned(reason));
     }
@@ -246,7 +246,7 @@
     private void giveUpIfHopeless(ActiveJob job) {
         if (mAdmission.fits(job)) {
             refuseIfUseless(job);
-        } else if (mBoard.mNow - job.mArrivedAt >= DISCOVERY_MILLIS && !mBoard.settling()) {
+        } else if (mBoard.mNow - job.mArrivedAt >= DISCOVERY_MILLIS && !mBoard.mTime.settling()) {
             end(job, new PoolAnswer.Failed("a task is larger than every target"));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -42,7 +42,7 @@
 
     private Optional<PoolAnswer> overloaded(ActiveJob job) {
         double cores = ownCores(job);
-        if (cores <= 0 || mBoard.settling()) {
+        if (cores <= 0 || mBoard.mTime.settling()) {
             return Optional.empty();
         }
         double ahead = 0;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
@@ -12,18 +12,6 @@
 
 /** The blackboard of an entry in a pool, used on the control thread alone. */
 final class PoolBoard {
-    /** How long after a start sidecars may take to be found: two announcements of a target. */
-    private static final long DISCOVERY_MILLIS = 3_000;
-
-    /** Events that lie further apart than this, in milliseconds, show a pause of this process. */
-    private static final long PAUSE_MILLIS = 300;
-
-    /** How long after a pause requests may come that had waited in connections all the while. */
-    private static final long BACKLOG_MILLIS = 250;
-
-    /** How long after the first sidecar the others may take to connect. */
-    private static final long SETTLE_MILLIS = 150;
-
     final Map<NodeId, SidecarSeat> mSeats = new LinkedHashMap<>();
     final Map<String, ActiveJob> mJobs = new LinkedHashMap<>();
 
@@ -40,35 +28,11 @@
 
     boolean mLeaving;
     long mNow;
-    private long mStartedAt;
-    private long mServingAt;
-    private long mWokeAt;
-    private long mPausedMillis;
+    final ProcessTime mTime = new ProcessTime();
 
     void at(long now) {
-        if (mNow > 0 && now - mNow > PAUSE_MILLIS) {
-            mWokeAt = now;
-            mPausedMillis = now - mNow;
-        }
         mNow = now;
-        mStartedAt = mStartedAt == 0 ? now : mStartedAt;
-    }
-
-    /** Returns the age that a request may have which is read now, in milliseconds. */
-    long requestAge() {
-        return mNow - mWokeAt < BACKLOG_MILLIS ? mPausedMillis : 0;
-    }
-
-    /** Notes that a sidecar serves. */
-    void noteServing() {
-        mServingAt = mServingAt == 0 ? mNow : mServingAt;
-    }
-
-    /** Returns whether too few sidecars may be known yet to judge what can be served. */
-    boolean settling() {
-        return mServingAt == 0
-                ? mNow - mStartedAt < DISCOVERY_MILLIS
-                : mNow - mServingAt < SETTLE_MILLIS;
+        mTime.at(now);
     }
 
     void count(PoolEntryCounter counter) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -11,6 +11,9 @@
     /** After this silence a connection is closed and opened again. */
     public static final long SILENCE_MILLIS = 600;
 
+    /** Where a process does nothing for longer than this, it stood still or its clock leapt. */
+    public static final long OWN_PAUSE_MILLIS = 300;
+
     /** After this silence an entry places nothing more at a sidecar. */
     public static final long SUSPECT_MILLIS = 400;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
@@ -18,9 +18,6 @@
     private static final long FULL_PAUSE_MILLIS = 5;
     private static final double BLAME_RATIO = 0.5;
 
-    /** Ticks that lie further apart than this, in milliseconds, show a pause of this process. */
-    private static final long OWN_PAUSE_MILLIS = 300;
-
     /** How far the number of a run is raised after a target has seen a higher one. */
     private static final int RUN_LEAP = 16;
 
@@ -61,7 +58,7 @@
     private void onRoom(SidecarSeat seat, PoolMessage.Room room) {
         seat.onRoom(room);
         if (room.serving()) {
-            mBoard.noteServing();
+            mBoard.mTime.noteServing();
             olderLives(seat.node()).forEach(this::drop);
         }
     }
@@ -211,7 +208,7 @@
     /** While this process stood still, or its clock leapt, the silence of others means nothing. */
     private void excuseOwnPause() {
         long pause = mBoard.mNow - mTickedAt;
-        if (mTickedAt > 0 && pause > OWN_PAUSE_MILLIS) {
+        if (mTickedAt > 0 && pause > PoolTiming.OWN_PAUSE_MILLIS) {
             mBoard.mSeats
                     .values()
                     .forEach(seat -> seat.mHeardAt = Math.min(mBoard.mNow, seat.mHeardAt + pause));
