--- a/jackdawsaddle.test/tst/org/jackdawsaddle/platform/PlatformPictureTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/PlatformPictureTest.java
@@ -55,6 +55,11 @@
         assertMetric("127.81.0.2:9464", "jackdawsaddle_job_seconds_count{outcome=\"succeeded\"}");
         assertMetric("127.81.0.2:9464", "jackdawsaddle_entry_tasks_done_total");
         assertMetric("127.81.0.2:9464", "jackdawsaddle_log_lines_dropped_total");
+        assertMetric("127.81.0.2:9464", "jackdawsaddle_task_wait_seconds_count");
+        assertMetric("127.81.0.2:9464", "jackdawsaddle_run_seconds_count{outcome=\"done\"}");
+        assertMetric("127.81.0.2:9464", "jackdawsaddle_store_calls_total{result=\"200\"}");
+        assertMetric("127.81.0.2:9464", "jackdawsaddle_configuration_age_seconds");
+        assertMetric("127.81.0.2:9464", "jackdawsaddle_oldest_view_seconds");
         assertMetric("127.81.0.100:9464", "jackdawsaddle_sidecar_target_lives_total");
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -29,6 +29,8 @@
 
 /** An entry of a pool: takes jobs from its embedder and has their tasks run by sidecars. */
 public final class PoolEntryService implements ManagedService {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     private final PoolEntryConfig mConfig;
     private final UnixClock mClock;
     private final MessageCounts mCounts = new MessageCounts();
@@ -44,6 +46,8 @@
     private final PoolDialer mDialer;
     private volatile boolean mReady;
     private volatile boolean mIdle = true;
+    private volatile long mOldestViewMillis;
+    private volatile long mConfiguredAt;
     private volatile PoolConfiguration mConfiguration = PoolConfiguration.NONE;
 
     /** Creates an entry that is not running. */
@@ -52,12 +56,7 @@
         mClock = clock;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
         mCore = new PoolEntryCore(config.leaseMillis(), config.resendMillis());
-        mLoop =
-                new ControlLoop(
-                        "control",
-                        () -> PoolTiming.TICK_MILLIS,
-                        () -> handle(new PoolEntryEvent.Tick()),
-                        this::perform);
+        mLoop = new ControlLoop("control", () -> PoolTiming.TICK_MILLIS, this::tick, this::perform);
         mThreads = new WireThreads("wire", 1);
         mAcceptor =
                 new PoolAcceptor(mSelf, config.address(), mLoop, new Accepted(), mThreads, mCounts);
@@ -150,11 +149,25 @@
         }
         mCounts.addTo(metrics);
         mJobTimes.addTo(metrics);
+        mCore.times().addTo(metrics);
         metrics.gauge("jackdawsaddle_ready", "1 if ready", () -> mReady ? 1 : 0);
         metrics.gauge(
                 "jackdawsaddle_configuration_version",
                 "The version in force",
                 () -> mConfiguration.version());
+        metrics.gauge(
+                "jackdawsaddle_configuration_age_seconds",
+                "Since the version in force was applied",
+                () -> (mClock.now() - mConfiguredAt) / MILLIS_PER_SECOND);
+        metrics.gauge(
+                "jackdawsaddle_oldest_view_seconds",
+                "Since the least lately heard of all connected sidecars was heard",
+                () -> mOldestViewMillis / MILLIS_PER_SECOND);
+    }
+
+    private void tick() {
+        handle(new PoolEntryEvent.Tick());
+        mOldestViewMillis = mCore.oldestViewMillis();
     }
 
     private void later(PoolEntryEvent event) {
@@ -166,7 +179,10 @@
     }
 
     private void perform() {
-        mConfiguration = mCore.configuration();
+        if (mConfiguration != mCore.configuration()) {
+            mConfiguration = mCore.configuration();
+            mConfiguredAt = mClock.now();
+        }
         mReady = mCore.ready();
         mIdle = mCore.idle();
         mCore.actions().forEach(this::perform);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -162,6 +162,7 @@
     private void place(TaskState task, SidecarSeat seat, Map<SidecarSeat, List<StartTask>> orders) {
         mBoard.count(PoolEntryCounter.TASKS_PLACED);
         Run run = task.nextRun();
+        mBoard.mTimes.placed(task, mBoard.mNow);
         task.mPhase = TaskState.Phase.PLACED;
         task.mJob.mTargets.add(seat.mHello.target());
         double expected = mPlacement.expectedMillis(task) / seat.mSpeed.speed();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
@@ -29,6 +29,7 @@
     boolean mLeaving;
     long mNow;
     final ProcessTime mTime = new ProcessTime();
+    final PoolTimes mTimes = new PoolTimes();
 
     void at(long now) {
         mNow = now;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -79,6 +79,20 @@
         return mBoard.counted(counter);
     }
 
+    /** Returns how long tasks waited and runs took. */
+    public PoolTimes times() {
+        return mBoard.mTimes;
+    }
+
+    /** Returns how long ago the sidecar was heard that was heard least lately, in milliseconds. */
+    public long oldestViewMillis() {
+        return mBoard.mSeats.values().stream()
+                .filter(seat -> seat.mConnected)
+                .mapToLong(seat -> mBoard.mNow - seat.mHeardAt)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns whether callers should be sent here. */
     public boolean ready() {
         return mBoard.mConfiguration.version() > 0
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTimes.java
@@ -0,0 +1,31 @@
+package org.jackdawsaddle.internal.pool;
+
+import org.jackdawsaddle.internal.runtime.LatencyHistogram;
+import org.jackdawsaddle.internal.runtime.MetricsText;
+
+/** How long tasks waited for their first order, and how long runs took, for the metrics. */
+public final class PoolTimes {
+    private final LatencyHistogram mWaits =
+            new LatencyHistogram(
+                    "jackdawsaddle_task_wait_seconds",
+                    "From a job's arrival to a task's first order");
+    private final LatencyHistogram mRuns =
+            new LatencyHistogram(
+                    "jackdawsaddle_run_seconds", "From the order of a run to the news of its end");
+
+    void placed(TaskState task, long now) {
+        if (task.mRuns == 1) {
+            mWaits.observeMillis(now - task.mJob.mArrivedAt, "placed");
+        }
+    }
+
+    void ended(PlacedRun placed, String outcome, long now) {
+        mRuns.observeMillis(now - placed.mPlacedAt, outcome);
+    }
+
+    /** Adds both to the metrics of a process. */
+    public void addTo(MetricsText metrics) {
+        mWaits.addTo(metrics);
+        mRuns.addTo(metrics);
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/LatencyHistogram.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/LatencyHistogram.java
@@ -5,6 +5,7 @@
 
 /** How long something took, by outcome, for the metrics of a process. */
 public final class LatencyHistogram {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     /** Upper bounds of the classes, in seconds: a round trip to the slowest jobs. */
@@ -32,6 +33,11 @@
         mHistogram.labelValues(outcome).observe(seconds);
     }
 
+    /** Adds what took a number of milliseconds. */
+    public void observeMillis(long millis, String outcome) {
+        mHistogram.labelValues(outcome).observe(millis / MILLIS_PER_SECOND);
+    }
+
     /** Adds the histogram to the metrics of a process. */
     public void addTo(MetricsText metrics) {
         metrics.register(mHistogram);
