--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DemoCommand.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/DemoCommand.java
@@ -13,7 +13,7 @@
 
     @Override
     public Integer call() {
-        System.out.println("Logs: " + RoleLogs.demoFile());
+        System.out.println("Logs: " + ProcessLogs.demoFile());
         return new Demo(System.out).run() ? Main.OK : Main.NEGATIVE;
     }
 }
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -77,9 +77,9 @@
         if (startedByPlatform(arguments)) {
             // A hang-up before the role watches its settings would end the process.
             Signal.handle(new Signal("HUP"), signal -> {});
-            RoleLogs.install();
+            ProcessLogs.installForRole();
         } else if (arguments.length > 0 && arguments[0].equals(DEMO)) {
-            RoleLogs.installForDemo();
+            ProcessLogs.installForDemo();
         }
         System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
         System.exit(startedByPlatform(arguments) ? runRole(arguments[1]) : run(arguments));
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/RoleLogs.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ProcessLogs.java
@@ -17,26 +17,28 @@
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
 
 /**
- * The logs of a role on the platform: JSON lines on standard output, dropped where the writer
- * cannot keep up.
+ * Logs as JSON lines, dropped where the writer cannot keep up: those of a role on the platform, on
+ * standard output, and those of the demonstration, in a file.
  *
  * <p>Built in code, as reading a configuration file would delay a role's start.
  */
-final class RoleLogs {
+final class ProcessLogs {
     private static final String OWN_LOGGERS = "org.jackdawsaddle";
     private static final String OUTPUT = "output";
     private static final int BUFFERED_LINES = 1_024;
 
-    private RoleLogs() {}
+    private ProcessLogs() {}
 
-    /** Has all loggers use these logs; to be called before the first logger is created. */
-    static void install() {
-        Configurator.initialize(new Lines(RoleLogs::standardOutput));
+    /**
+     * Has all loggers write to standard output; to be called before the first logger is created.
+     */
+    static void installForRole() {
+        Configurator.initialize(new Lines(ProcessLogs::standardOutput));
     }
 
     /** Has all loggers write to the file of the demonstration, whose own output stays readable. */
     static void installForDemo() {
-        Configurator.initialize(new Lines(RoleLogs::demoOutput));
+        Configurator.initialize(new Lines(ProcessLogs::demoOutput));
     }
 
     /** Returns where the demonstration of this process logs. */
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPlan.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformPlan.java
@@ -44,52 +44,52 @@
 
     /** Returns where the store listens. */
     public String storeAddress() {
-        return near(STORE_HOST) + ":" + STORE_PORT;
+        return host(STORE_HOST) + ":" + STORE_PORT;
     }
 
     /** Returns where a link to the store may listen. */
     public String storeLinkAddress() {
-        return far(STORE_HOST) + ":" + STORE_PORT;
+        return linkHost(STORE_HOST) + ":" + STORE_PORT;
     }
 
     /** Returns where callers reach an entry. */
     public String callerAddress(int entry) {
-        return near(FIRST_ENTRY_HOST + entry) + ":" + CALLER_PORT;
+        return host(FIRST_ENTRY_HOST + entry) + ":" + CALLER_PORT;
     }
 
     /** Returns where an entry tells whether it is ready. */
     public String readinessAddress(int entry) {
-        return near(FIRST_ENTRY_HOST + entry) + ":" + READINESS_PORT;
+        return host(FIRST_ENTRY_HOST + entry) + ":" + READINESS_PORT;
     }
 
     /** Returns where an entry tells its metrics. */
     public String metricsAddress(int entry) {
-        return near(FIRST_ENTRY_HOST + entry) + ":" + METRICS_PORT;
+        return host(FIRST_ENTRY_HOST + entry) + ":" + METRICS_PORT;
     }
 
     /** Returns where a worker takes orders. */
     public String workerAddress(int worker) {
-        return near(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
+        return host(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
     }
 
     /** Returns where a link to a worker may listen. */
     public String workerLinkAddress(int worker) {
-        return far(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
+        return linkHost(FIRST_SIDECAR_HOST + worker) + ":" + WORKER_PORT;
     }
 
     /** Returns an entry's address as a seed. */
     public String seed(int entry) {
-        return near(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
+        return host(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
     }
 
     /** Returns the settings of an entry. */
     public PlatformSettings entry(int entry, List<String> seeds, String storeAddress) {
-        return settings("entry-" + entry, near(FIRST_ENTRY_HOST + entry), seeds, storeAddress);
+        return settings("entry-" + entry, host(FIRST_ENTRY_HOST + entry), seeds, storeAddress);
     }
 
     /** Returns the settings of a sidecar. */
     public PlatformSettings sidecar(int sidecar, List<String> seeds, String storeAddress) {
-        String ip = near(FIRST_SIDECAR_HOST + sidecar);
+        String ip = host(FIRST_SIDECAR_HOST + sidecar);
         return settings("sidecar-" + sidecar, ip, seeds, storeAddress);
     }
 
@@ -121,7 +121,7 @@
                 SERVICE,
                 workerAddress(worker),
                 announcedAddress,
-                near(FIRST_SIDECAR_HOST + worker) + ":" + ANNOUNCEMENT_PORT,
+                host(FIRST_SIDECAR_HOST + worker) + ":" + ANNOUNCEMENT_PORT,
                 WORKER_CORES,
                 SPEEDS[worker % SPEEDS.length]);
     }
@@ -190,12 +190,12 @@
         return new HttpCall("POST", callerAddress(entry), path, headers, Json.write(body), until);
     }
 
-    private String near(int number) {
+    private String host(int number) {
         return "127." + mNetwork + ".0." + number;
     }
 
-    /** Returns the address at which the link to the same number listens. */
-    private String far(int number) {
+    /** Returns the host of the link to a host. */
+    private String linkHost(int number) {
         return "127." + mNetwork + ".1." + number;
     }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
@@ -30,7 +30,7 @@
     private TargetLife mLife;
     private long mNow;
     private long mStarts;
-    private long mHold;
+    private long mPoll;
     private final List<PoolSidecarAction> mActions = new ArrayList<>();
 
     @BeforeMethod
@@ -42,7 +42,7 @@
         mLife = life(5, 1, false);
         handle(new PoolSidecarEvent.EntryConnected(ENTRY));
         handle(new PoolSidecarEvent.TargetAnnounced(mLife));
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertTrue(mCore.serving());
     }
 
@@ -72,9 +72,9 @@
         assertEquals(actions(PoolSidecarAction.StopRun.class).size(), 1);
         assertEquals(mCore.free().cores(), 6.0);
         handle(new PoolSidecarEvent.StopAnswered(RUN, true));
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertEquals(mCore.free().cores(), 6.0, "asked for before the stop was answered");
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertEquals(mCore.free().cores(), 16.0);
         assertEquals(reports(), List.of(new TaskReport(RUN, ReportKind.ENDED)));
     }
@@ -82,7 +82,7 @@
     @Test
     public void keepsARunThatIsListedThoughItsStartWasNotAnswered() {
         start(RUN, 1);
-        answerHold(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
+        answerPoll(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
         handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.UNANSWERED));
         assertTrue(actions(PoolSidecarAction.StopRun.class).isEmpty());
     }
@@ -103,9 +103,9 @@
         start(RUN, 1);
         handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
         TargetLists.Ended end = new TargetLists.Ended(1, RUN.task(), 1, TargetLists.How.DONE);
-        answerHold(List.of(), List.of(end));
+        answerPoll(List.of(), List.of(end));
         assertEquals(reports(), List.of(new TaskReport(RUN, ReportKind.DONE)));
-        answerHold(List.of(), List.of(end));
+        answerPoll(List.of(), List.of(end));
         assertEquals(reports(), List.of());
         assertTrue(mCore.idle());
     }
@@ -161,7 +161,7 @@
         handle(new PoolSidecarEvent.TargetAnnounced(mLife));
         assertEquals(reports(), List.of());
         assertFalse(mCore.serving());
-        answerHold(List.of(new TargetLists.Held(OTHER.task(), 1)), List.of());
+        answerPoll(List.of(new TargetLists.Held(OTHER.task(), 1)), List.of());
         assertEquals(reports(), List.of(new TaskReport(RUN, ReportKind.ENDED)));
         assertEquals(mCore.free().cores(), 15.0);
         assertTrue(mCore.serving());
@@ -172,12 +172,12 @@
         mCore = new PoolSidecarCore(new NodeId("sidecar", 2), "here", 8, LEASE_MILLIS);
         mActions.clear();
         handle(new PoolSidecarEvent.TargetAnnounced(mLife));
-        answerHold(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
+        answerPoll(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
         assertEquals(actions(PoolSidecarAction.StopRun.class).size(), 1);
         assertFalse(mCore.serving());
         mNow += 100;
         handle(new PoolSidecarEvent.Tick());
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertTrue(mCore.serving());
     }
 
@@ -188,11 +188,11 @@
         handle(new PoolSidecarEvent.TargetRecalled(mLife.asFirst()));
         assertFalse(mCore.serving());
         TargetLists ofAnother = new TargetLists(9, 0, List.of(), List.of());
-        handle(new PoolSidecarEvent.ListsAnswered(mLife, mHold, Optional.of(ofAnother)));
+        handle(new PoolSidecarEvent.ListsAnswered(mLife, mPoll, Optional.of(ofAnother)));
         assertFalse(mCore.serving());
         mNow += 100;
         handle(new PoolSidecarEvent.Tick());
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertTrue(mCore.serving());
         assertTrue(actions(PoolSidecarAction.KeepTarget.class).isEmpty(), "it is kept already");
     }
@@ -217,12 +217,12 @@
         handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
         for (int call = 0; call < 3; call++) {
             assertTrue(mCore.serving());
-            handle(new PoolSidecarEvent.ListsAnswered(mLife, mHold, Optional.empty()));
+            handle(new PoolSidecarEvent.ListsAnswered(mLife, mPoll, Optional.empty()));
             mNow += 100;
             handle(new PoolSidecarEvent.Tick());
         }
         assertFalse(mCore.serving());
-        answerHold(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
+        answerPoll(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
         assertTrue(mCore.serving());
     }
 
@@ -230,7 +230,7 @@
     public void takesTheRunsOfASilentTargetAsLostOnceTheirLeaseIsSurelyOver() {
         start(RUN, 1);
         handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
-        answerHold(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
+        answerPoll(List.of(new TargetLists.Held(RUN.task(), 1)), List.of());
         long heardAt = mNow;
         long promised = beSilent(6);
         assertTrue(mNow - heardAt > promised, "the lease is not cut short");
@@ -244,9 +244,9 @@
         handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
         beSilent(20);
         assertFalse(mCore.serving());
-        assertEquals(actions(PoolSidecarAction.Hold.class).size(), 1, "it is asked on and on");
+        assertEquals(actions(PoolSidecarAction.Poll.class).size(), 1, "it is asked on and on");
         reports();
-        answerHold(List.of(), List.of());
+        answerPoll(List.of(), List.of());
         assertTrue(mCore.serving());
         start(OTHER, 1);
         List<PoolSidecarAction.StartRun> orders = actions(PoolSidecarAction.StartRun.class);
@@ -263,11 +263,11 @@
     private long beSilent(int calls) {
         long promised = 0;
         for (int call = 0; call < calls; call++) {
-            for (PoolSidecarAction.Hold hold : actions(PoolSidecarAction.Hold.class)) {
-                promised = Math.max(promised, hold.leaseUntil().orElse(0L));
+            for (PoolSidecarAction.Poll poll : actions(PoolSidecarAction.Poll.class)) {
+                promised = Math.max(promised, poll.leaseUntil().orElse(0L));
             }
             mNow += 130;
-            handle(new PoolSidecarEvent.ListsAnswered(mLife, mHold, Optional.empty()));
+            handle(new PoolSidecarEvent.ListsAnswered(mLife, mPoll, Optional.empty()));
             mNow += 50;
             handle(new PoolSidecarEvent.EntrySent(ENTRY, new PoolMessage.Ping(0)));
             handle(new PoolSidecarEvent.Tick());
@@ -299,17 +299,17 @@
                         ENTRY, new PoolMessage.Start(mStarts, mNow, List.of(task(run, cores)))));
     }
 
-    private void answerHold(List<TargetLists.Held> running, List<TargetLists.Ended> ended) {
+    private void answerPoll(List<TargetLists.Held> running, List<TargetLists.Ended> ended) {
         TargetLists lists = new TargetLists(mLife.startedAt(), 0, running, ended);
-        handle(new PoolSidecarEvent.ListsAnswered(mLife, mHold, Optional.of(lists)));
+        handle(new PoolSidecarEvent.ListsAnswered(mLife, mPoll, Optional.of(lists)));
     }
 
     private void handle(PoolSidecarEvent event) {
         mCore.handle(event, mNow);
         for (PoolSidecarAction action : mCore.actions()) {
             mActions.add(action);
-            if (action instanceof PoolSidecarAction.Hold hold) {
-                mHold = hold.number();
+            if (action instanceof PoolSidecarAction.Poll poll) {
+                mPoll = poll.number();
             }
         }
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/WalkedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/WalkedSidecar.java
@@ -134,7 +134,7 @@
                 case PoolSidecarAction.DropEntry drop -> drop(drop.entry());
                 case PoolSidecarAction.StartRun start -> start(start);
                 case PoolSidecarAction.StopRun stop -> stop(stop);
-                case PoolSidecarAction.Hold hold -> hold(hold);
+                case PoolSidecarAction.Poll poll -> poll(poll);
             }
         }
     }
@@ -219,23 +219,23 @@
                                 mWalk.mNow));
     }
 
-    private void hold(PoolSidecarAction.Hold hold) {
+    private void poll(PoolSidecarAction.Poll poll) {
         int life = mLife;
         WorkerModel worker = mWorker;
         boolean[] answered = {false};
         order(
-                () -> holdUntil(life, worker, hold, mWalk.mNow + hold.waitMillis(), answered),
+                () -> pollUntil(life, worker, poll, mWalk.mNow + poll.waitMillis(), answered),
                 () -> {
                     if (!answered[0]) {
-                        lists(life, hold, worker, Optional.empty());
+                        lists(life, poll, worker, Optional.empty());
                     }
                 });
     }
 
-    private void holdUntil(
+    private void pollUntil(
             int life,
             WorkerModel worker,
-            PoolSidecarAction.Hold hold,
+            PoolSidecarAction.Poll poll,
             long until,
             boolean[] answered) {
         if (worker != mWorker) {
@@ -243,18 +243,18 @@
         }
         var lists =
                 worker.hold(
-                        hold.leaseUntil().orElse(0L), hold.confirmed(), hold.fence(), mWalk.mNow);
+                        poll.leaseUntil().orElse(0L), poll.confirmed(), poll.fence(), mWalk.mNow);
         if (lists.ended().isEmpty() && mWalk.mNow < until) {
-            mWalk.after(5, () -> holdUntil(life, worker, hold, until, answered));
+            mWalk.after(5, () -> pollUntil(life, worker, poll, until, answered));
         } else {
             answered[0] = true;
-            mWalk.after(1, () -> lists(life, hold, worker, Optional.of(lists)));
+            mWalk.after(1, () -> lists(life, poll, worker, Optional.of(lists)));
         }
     }
 
     private void lists(
             int life,
-            PoolSidecarAction.Hold hold,
+            PoolSidecarAction.Poll poll,
             WorkerModel worker,
             Optional<org.jackdawsaddle.pool.TargetLists> lists) {
         run(
@@ -262,7 +262,7 @@
                 () ->
                         mCore.handle(
                                 new PoolSidecarEvent.ListsAnswered(
-                                        hold.life(), hold.number(), lists),
+                                        poll.life(), poll.number(), lists),
                                 mWalk.mNow));
     }
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
@@ -16,12 +16,18 @@
     private static final List<String> FLAGS =
             List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx128m", "-Xshare:auto");
 
+    private static final int HUNG_UP = 129;
+
+    /** What a Java process takes to reach its first line of code, and its end to be noticed. */
+    private static final long JAVA_START_MILLIS = 1_300;
+
     private static final String SETTINGS_VARIABLE = "JACKDAWSADDLE_CONFIG";
 
     private final List<String> mArguments;
     private final Path mSettings;
     private final File mLog;
     private Process mProcess;
+    private long mStartedAt;
 
     ChildProcess(Path folder, String role, String name, Object settings) {
         mSettings = folder.resolve(name + ".json");
@@ -65,6 +71,7 @@
         builder.environment().put(SETTINGS_VARIABLE, mSettings.toString());
         try {
             mProcess = builder.start();
+            mStartedAt = System.nanoTime();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -87,6 +94,15 @@
         signal("HUP");
     }
 
+    /**
+     * Returns whether a hang-up ended it in the first moments of the Java process, before any code
+     * of the project could ignore it.
+     */
+    boolean hungUpAtStart() {
+        long lived = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartedAt);
+        return exitCode() == HUNG_UP && lived <= JAVA_START_MILLIS;
+    }
+
     boolean alive() {
         return mProcess.isAlive();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakFleet.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakFleet.java
@@ -39,8 +39,8 @@
     private volatile boolean mStopping;
     private long mVersion = 1;
 
-    /** The exit codes of processes that ended by themselves. */
-    final List<Integer> mExits = new CopyOnWriteArrayList<>();
+    /** The processes that ended by themselves. */
+    final List<String> mExits = new CopyOnWriteArrayList<>();
 
     /**
      * Creates a fleet that is not running.
@@ -103,7 +103,9 @@
     private void restartIfEnded(ChildProcess process) {
         synchronized (process) {
             if (!mStopping && !process.alive()) {
-                mExits.add(process.exitCode());
+                if (!process.hungUpAtStart()) {
+                    mExits.add("a process ended by itself with code " + process.exitCode());
+                }
                 process.start();
             }
         }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakTest.java
@@ -35,7 +35,7 @@
     /** From the end of all faults until everything is served again: the stated 12 s. */
     private static final long RECOVERY_MILLIS = 12_000;
 
-    private static final int HUNG_UP = 129;
+    private static final long POLL_MILLIS = 50;
 
     /** From a publication until it is in force everywhere: the stated 2 s. */
     private static final long IN_FORCE_MILLIS = 2_000;
@@ -76,10 +76,7 @@
             watch.stop();
             fleet.stop();
         }
-        // A hang-up in the first moments of a Java process, before any of its code, ends it.
-        fleet.mExits.stream()
-                .filter(code -> code != HUNG_UP)
-                .forEach(code -> broken.add("a process ended by itself with code " + code));
+        broken.addAll(fleet.mExits);
         broken.addAll(watch.broken());
         broken.addAll(callers.broken(watch.startedTasks()));
         System.out.printf(
@@ -126,7 +123,7 @@
                 broken.add("not " + what);
                 return;
             }
-            ProcessFleet.pause(50);
+            ProcessFleet.pause(POLL_MILLIS);
         }
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -149,7 +149,7 @@
         }
         mCounts.addTo(metrics);
         mJobTimes.addTo(metrics);
-        mCore.times().addTo(metrics);
+        mCore.durations().addTo(metrics);
         metrics.gauge("jackdawsaddle_ready", "1 if ready", () -> mReady ? 1 : 0);
         metrics.gauge(
                 "jackdawsaddle_configuration_version",
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -141,17 +141,17 @@
                     mTarget.stop(stop.life(), stop.run().task(), stop.run().run(), stop.fence())
                             .thenAccept(answered ->
                                     later(new PoolSidecarEvent.StopAnswered(stop.run(), answered)));
-            case PoolSidecarAction.Hold hold ->
-                    mTarget.hold(
-                                    hold.life(),
-                                    hold.leaseUntil(),
-                                    hold.confirmed(),
-                                    hold.waitMillis(),
-                                    hold.fence())
+            case PoolSidecarAction.Poll poll ->
+                    mTarget.poll(
+                                    poll.life(),
+                                    poll.leaseUntil(),
+                                    poll.confirmed(),
+                                    poll.waitMillis(),
+                                    poll.fence())
                             .thenAccept(lists ->
                                     later(
                                             new PoolSidecarEvent.ListsAnswered(
-                                                    hold.life(), hold.number(), lists)));
+                                                    poll.life(), poll.number(), lists)));
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/explain/JobStory.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/explain/JobStory.java
@@ -77,9 +77,7 @@
         for (LogLine line : mOwn) {
             names.add(line.process());
             line.field(TARGET).ifPresent(names::add);
-            line.field("targets")
-                    .ifPresent(list ->
-                            names.addAll(List.of(list.replaceAll("[\\[\\] ]", "").split(","))));
+            names.addAll(line.members("targets"));
         }
         for (LogLine line : lines) {
             if (line.field(TARGET).filter(names::contains).isPresent()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/explain/LogLine.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/explain/LogLine.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -75,6 +76,13 @@
         return Optional.ofNullable(mFields.get(name));
     }
 
+    /** Returns the members of a field that holds a list. */
+    List<String> members(String name) {
+        return field(name)
+                .map(list -> List.of(list.replaceAll("[\\[\\] ]", "").split(",")))
+                .orElse(List.of());
+    }
+
     /** Returns whether a field has a value that speaks of a job or of its tasks. */
     boolean speaksOf(String job) {
         return mFields.values().stream().anyMatch(value -> value.contains(job));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/EntryLinks.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/EntryLinks.java
@@ -1,7 +1,6 @@
 package org.jackdawsaddle.internal.entry;
 
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +16,7 @@
 import org.jackdawsaddle.internal.runtime.Addresses;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.NodeChannels;
 import org.jackdawsaddle.internal.wire.WireChannel;
 import org.jackdawsaddle.internal.wire.WireConnector;
 import org.jackdawsaddle.internal.wire.WireListener;
@@ -42,12 +42,10 @@
     private final WireThreads mThreads;
     private final MessageCounts mCounts;
     private final WireServer mServer;
-    private final Map<NodeId, WireChannel> mSidecars = new HashMap<>();
-    private final Map<WireChannel, NodeId> mSidecarNodes = new HashMap<>();
+    private final NodeChannels mSidecars = new NodeChannels();
     private final Map<WireChannel, NodeId> mPeerNodes = new HashMap<>();
     private final Map<NodeId, WireConnector> mConnectors = new HashMap<>();
-    private final Map<NodeId, WireChannel> mPeers = new HashMap<>();
-    private final Set<WireChannel> mUnflushed = new LinkedHashSet<>();
+    private final NodeChannels mPeers = new NodeChannels();
 
     /** Creates links that are not open. */
     public EntryLinks(
@@ -79,17 +77,17 @@
 
     /** Queues a message to a sidecar. */
     public void send(NodeId sidecar, EntryMessage message) {
-        write(mSidecars.get(sidecar), message);
+        mSidecars.write(sidecar, message);
     }
 
     /** Queues a message to a peer. */
     public void sendToPeer(NodeId peer, PeerMessage message) {
-        write(mPeers.get(peer), message);
+        mPeers.write(peer, message);
     }
 
     /** Returns the peers that are connected. */
     public Set<NodeId> peers() {
-        return Set.copyOf(mPeers.keySet());
+        return mPeers.nodes();
     }
 
     /** Keeps a connection to a peer open. */
@@ -103,20 +101,13 @@
     /** Closes the connection to a peer for good. */
     public void disconnect(NodeId peer) {
         Optional.ofNullable(mConnectors.remove(peer)).ifPresent(WireConnector::stop);
-        mPeers.remove(peer);
+        mPeers.drop(peer);
     }
 
     /** Sends what is queued. */
     public void flush() {
-        mUnflushed.forEach(WireChannel::flush);
-        mUnflushed.clear();
-    }
-
-    private void write(WireChannel channel, Message message) {
-        if (channel != null) {
-            channel.write(message);
-            mUnflushed.add(channel);
-        }
+        mSidecars.flush();
+        mPeers.flush();
     }
 
     /** Connections that sidecars and peers have opened. */
@@ -141,12 +132,11 @@
     private void onAccepted(WireChannel channel, Message message) {
         switch (message) {
             case SidecarMessage.SidecarHello hello -> onHello(channel, hello);
-            case SidecarMessage sidecar -> {
-                NodeId node = mSidecarNodes.get(channel);
-                if (node != null && mSidecars.get(node) == channel) {
-                    mSink.accept(new EntryEvent.SidecarSent(node, sidecar));
-                }
-            }
+            case SidecarMessage sidecar ->
+                    mSidecars
+                            .nodeOf(channel)
+                            .ifPresent(node ->
+                                    mSink.accept(new EntryEvent.SidecarSent(node, sidecar)));
             case PeerMessage.PeerHello hello -> {
                 mPeerNodes.put(channel, hello.entry());
                 mSink.accept(new EntryEvent.PeerSent(hello.entry(), hello));
@@ -163,23 +153,15 @@
     }
 
     private void onHello(WireChannel channel, SidecarMessage.SidecarHello hello) {
-        NodeId node = hello.sidecar();
-        WireChannel before = mSidecars.put(node, channel);
-        mSidecarNodes.put(channel, node);
-        if (before != null && before != channel) {
-            before.close();
-            mSink.accept(new EntryEvent.SidecarLost(node));
+        if (mSidecars.bind(hello.sidecar(), channel)) {
+            mSink.accept(new EntryEvent.SidecarLost(hello.sidecar()));
         }
         mSink.accept(new EntryEvent.SidecarAnnounced(hello));
     }
 
     private void onAcceptedClosed(WireChannel channel) {
         mPeerNodes.remove(channel);
-        mUnflushed.remove(channel);
-        NodeId node = mSidecarNodes.remove(channel);
-        if (node != null && mSidecars.remove(node, channel)) {
-            mSink.accept(new EntryEvent.SidecarLost(node));
-        }
+        mSidecars.closed(channel).ifPresent(node -> mSink.accept(new EntryEvent.SidecarLost(node)));
     }
 
     /** The connection to one life of a peer. */
@@ -204,12 +186,9 @@
 
         @Override
         public void closed(WireChannel channel) {
-            mLoop.execute(() -> {
-                mUnflushed.remove(channel);
-                if (mPeers.remove(mPeer, channel)) {
-                    mSink.accept(new EntryEvent.PeerLost(mPeer));
-                }
-            });
+            mLoop.execute(() ->
+                    mPeers.closed(channel)
+                            .ifPresent(peer -> mSink.accept(new EntryEvent.PeerLost(peer))));
         }
 
         private void onWelcome(WireChannel channel, EntryMessage.Welcome welcome) {
@@ -217,7 +196,7 @@
                 channel.close();
                 return;
             }
-            mPeers.put(mPeer, channel);
+            mPeers.bind(mPeer, channel);
             mSink.accept(new EntryEvent.PeerConnected(mPeer));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/json/ProblemCollector.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/ProblemCollector.java
@@ -1,6 +1,7 @@
 package org.jackdawsaddle.internal.json;
 
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.JavaType;
@@ -8,7 +9,9 @@
 import com.fasterxml.jackson.databind.deser.DeserializationProblemHandler;
 import com.fasterxml.jackson.databind.util.ClassUtil;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 
 /** Notes every unknown field and wrong type of a text, and reads on. */
@@ -57,12 +60,23 @@
     }
 
     private void note(JsonParser parser, String problem) {
-        String path =
-                parser.getParsingContext()
-                        .pathAsPointer()
-                        .toString()
-                        .substring(1)
-                        .replace('/', '.');
+        note(path(parser.getParsingContext()), problem);
+    }
+
+    /** Notes what is wrong at a path. */
+    void note(String path, String problem) {
         mProblems.add(new StrictJson.Problem(path, problem));
     }
+
+    private static String path(JsonStreamContext innermost) {
+        Deque<String> steps = new ArrayDeque<>();
+        for (JsonStreamContext at = innermost; at != null; at = at.getParent()) {
+            if (at.inObject() && at.hasCurrentName()) {
+                steps.push(at.getCurrentName());
+            } else if (at.inArray() && at.hasCurrentIndex()) {
+                steps.push("[" + at.getCurrentIndex() + "]");
+            }
+        }
+        return steps.isEmpty() ? StrictJson.BODY : String.join(".", steps);
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/json/StrictJson.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/json/StrictJson.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -18,6 +17,9 @@
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .build();
 
+    /** The path of a text as a whole. */
+    static final String BODY = "body";
+
     private StrictJson() {}
 
     /**
@@ -28,41 +30,43 @@
     public record Problem(String path, String problem) {}
 
     /**
-     * Returns everything that is wrong in a text, as far as its form as JSON lets it be read.
+     * Reads a value.
      *
-     * @param type what the text is meant to hold
+     * @throws RequestInvalidException with the path of the first wrong field
      */
-    public static List<Problem> problems(String json, Class<?> type) {
+    public static <T> T read(String json, Class<T> type) {
         ProblemCollector collector = new ProblemCollector();
-        try {
-            MAPPER.readerFor(type).withHandler(collector).readValue(json);
-        } catch (JsonMappingException e) {
-            collector.problems().add(new Problem(path(e), e.getOriginalMessage()));
-        } catch (JsonProcessingException e) {
-            collector.problems().add(new Problem("body", e.getOriginalMessage()));
+        T value = parse(json, type, collector);
+        if (!collector.problems().isEmpty()) {
+            Problem first = collector.problems().get(0);
+            throw new RequestInvalidException(first.path() + ": " + first.problem());
         }
-        return List.copyOf(collector.problems());
+        if (value == null) {
+            throw new RequestInvalidException("body: is null");
+        }
+        return value;
     }
 
     /**
-     * Reads a value.
+     * Returns everything that is wrong in a text, as far as its form as JSON lets it be read.
      *
-     * @throws RequestInvalidException with the path of the wrong field
+     * @param type what the text is meant to hold
      */
-    public static <T> T read(String json, Class<T> type) {
+    public static List<Problem> problems(String json, Class<?> type) {
+        ProblemCollector collector = new ProblemCollector();
+        parse(json, type, collector);
+        return List.copyOf(collector.problems());
+    }
+
+    private static <T> T parse(String json, Class<T> type, ProblemCollector collector) {
         try {
-            T value = MAPPER.readValue(json, type);
-            if (value == null) {
-                throw new RequestInvalidException("body: is null");
-            }
-            return value;
-        } catch (UnrecognizedPropertyException e) {
-            throw new RequestInvalidException(path(e) + ": unknown field");
+            return MAPPER.readerFor(type).withHandler(collector).readValue(json);
         } catch (JsonMappingException e) {
-            throw new RequestInvalidException(path(e) + ": " + e.getOriginalMessage());
+            collector.note(path(e), e.getOriginalMessage());
         } catch (JsonProcessingException e) {
-            throw new RequestInvalidException("body: " + e.getOriginalMessage());
+            collector.note(BODY, e.getOriginalMessage());
         }
+        return null;
     }
 
     /** Returns the JSON text of a value, indented for people. */
@@ -82,6 +86,6 @@
                                         ? "[" + step.getIndex() + "]"
                                         : step.getFieldName())
                         .collect(Collectors.joining("."));
-        return path.isEmpty() ? "body" : path;
+        return path.isEmpty() ? BODY : path;
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/HeldRun.java
@@ -20,7 +20,7 @@
     State mState = State.STARTING;
 
     /** Lists that were asked for from this number on prove by their silence that it is gone. */
-    long mSettledAtHold = Long.MAX_VALUE;
+    long mSettledAtPoll = Long.MAX_VALUE;
 
     /** Whether the target has listed it as running. */
     boolean mListed;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -7,19 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.jackdawsaddle.internal.log.Event;
-import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.jackdawsaddle.pool.PoolJob;
 import org.jackdawsaddle.pool.PoolQueue;
 
-/** Takes jobs in, places their tasks and answers their callers. */
+/** Takes jobs in, places their tasks, and decides when and how a job ends. */
 final class JobController {
-    /** How long an answer is kept for a caller that did not get it and sends the job again. */
-    private static final long ANSWER_MILLIS = 10_000;
-
     /** How long a target that a job needs may take to become known. */
     private static final long DISCOVERY_MILLIS = 300;
 
@@ -38,13 +33,11 @@
         }
     }
 
-    private record KeptAnswer(PoolAnswer answer, long until) {}
-
     private final PoolBoard mBoard;
     private final Placement mPlacement;
     private final PoolAdmission mAdmission;
     private final long mResendMillis;
-    private final Map<String, KeptAnswer> mAnswers = new LinkedHashMap<>();
+    private final JobAnswers mAnswers;
 
     JobController(
             PoolBoard board, Placement placement, PoolAdmission admission, long resendMillis) {
@@ -52,49 +45,39 @@
         mPlacement = placement;
         mAdmission = admission;
         mResendMillis = resendMillis;
+        mAnswers = new JobAnswers(board, placement);
     }
 
     void submit(long token, PoolJob job) {
         mBoard.count(PoolEntryCounter.JOBS_SUBMITTED);
         ActiveJob active = mBoard.mJobs.get(job.id());
-        KeptAnswer kept = mAnswers.get(job.id());
+        Optional<PoolAnswer> kept = mAnswers.kept(job.id());
         if (active != null) {
             mBoard.count(PoolEntryCounter.JOBS_JOINED);
             active.mTokens.add(token);
-        } else if (kept != null) {
+        } else if (kept.isPresent()) {
             mBoard.count(PoolEntryCounter.JOBS_JOINED);
-            answer(token, kept.answer());
+            mAnswers.give(token, kept.get());
         } else if (mBoard.mTime.requestAge() >= mResendMillis) {
-            abandonStale(token, job);
+            // Its caller may have sent it again meanwhile, to an entry that runs it.
+            mAnswers.abandonUnseen(
+                    token, job, "may have waited here while this process stood still");
         } else {
             admit(token, job);
         }
     }
 
-    /** Its caller may have sent it again meanwhile, to an entry that runs it. */
-    private void abandonStale(long token, PoolJob job) {
-        mBoard.count(PoolEntryCounter.JOBS_ABANDONED);
-        String reason = "may have waited here while this process stood still";
-        EventLog.line(Event.JOB_ENDED)
-                .with("job", job.id())
-                .with("queue", job.queue())
-                .with("answer", "abandoned")
-                .with("reason", reason)
-                .with("paused_ms", mBoard.mTime.requestAge())
-                .write();
-        answer(token, new PoolAnswer.Abandoned(reason));
-    }
-
     private void admit(long token, PoolJob job) {
         Optional<PoolQueue> queue = mBoard.mConfiguration.queue(job.queue());
         if (queue.isEmpty()) {
-            refuse(token, job, new PoolAnswer.Refused("the queue was removed", RETRY_MILLIS));
+            mAnswers.refuse(
+                    token, job, new PoolAnswer.Refused("the queue was removed", RETRY_MILLIS));
             return;
         }
         ActiveJob active = new ActiveJob(job, queue.get(), mBoard.mNow, mResendMillis);
         Optional<PoolAnswer> refusal = mAdmission.check(active);
         if (refusal.isPresent()) {
-            refuse(token, job, refusal.get());
+            mAnswers.refuse(token, job, refusal.get());
             return;
         }
         active.mTokens.add(token);
@@ -105,20 +88,6 @@
         }
     }
 
-    private void refuse(long token, PoolJob job, PoolAnswer answer) {
-        mBoard.count(PoolEntryCounter.JOBS_REFUSED);
-        EventLog.line(Event.JOB_REFUSED)
-                .with("job", job.id())
-                .with("queue", job.queue())
-                .with("configuration", mBoard.mConfiguration.version())
-                .with("waiting_jobs", mBoard.mJobs.size())
-                .with("sidecars", mBoard.mSeats.size())
-                .with("answer", answer.outcome())
-                .with("reason", answer.why().orElse(""))
-                .write();
-        answer(token, answer);
-    }
-
     /** Places whatever waits and fits, in the order of the queues' priorities. */
     void dispatch() {
         List<ActiveJob> waiting =
@@ -162,7 +131,7 @@
     private void place(TaskState task, SidecarSeat seat, Map<SidecarSeat, List<StartTask>> orders) {
         mBoard.count(PoolEntryCounter.TASKS_PLACED);
         Run run = task.nextRun();
-        mBoard.mTimes.placed(task, mBoard.mNow);
+        mBoard.mDurations.placed(task, mBoard.mNow);
         task.mPhase = TaskState.Phase.PLACED;
         task.mJob.mTargets.add(seat.mHello.target());
         double expected = mPlacement.expectedMillis(task) / seat.mSpeed.speed();
@@ -215,7 +184,7 @@
         }
     }
 
-    /** Takes a job back; returns whether it was known. */
+    /** Takes a job back, if it is in hand. */
     void cancel(String id) {
         ActiveJob job = mBoard.mJobs.get(id);
         if (job != null) {
@@ -225,7 +194,7 @@
     }
 
     void onTick() {
-        mAnswers.values().removeIf(kept -> kept.until() <= mBoard.mNow);
+        mAnswers.forgetOld();
         List.copyOf(mBoard.mJobs.values()).forEach(this::giveUpIfPast);
         dispatch();
     }
@@ -259,50 +228,10 @@
     }
 
     private void end(ActiveJob job, PoolAnswer answer) {
-        String id = job.mJob.id();
         job.mEnded = true;
-        mBoard.mJobs.remove(id);
+        mBoard.mJobs.remove(job.mJob.id());
         stopRuns(job);
-        switch (answer) {
-            case PoolAnswer.Succeeded succeeded -> {
-                mBoard.count(PoolEntryCounter.JOBS_SUCCEEDED);
-                keep(id, answer);
-            }
-            case PoolAnswer.Failed failed -> {
-                mBoard.count(PoolEntryCounter.JOBS_FAILED);
-                keep(id, answer);
-            }
-            case PoolAnswer.Refused refused -> mBoard.count(PoolEntryCounter.JOBS_REFUSED);
-            case PoolAnswer.Abandoned abandoned -> mBoard.count(PoolEntryCounter.JOBS_ABANDONED);
-        }
-        logEnd(job, answer);
-        job.mTokens.forEach(token -> answer(token, answer));
-    }
-
-    private void logEnd(ActiveJob job, PoolAnswer answer) {
-        EventLog.line(Event.JOB_ENDED)
-                .with("job", job.mJob.id())
-                .with("queue", job.mQueue.name())
-                .with("configuration", mBoard.mConfiguration.version())
-                .with("answer", answer.outcome())
-                .with("reason", answer.why().orElse(""))
-                .with("ms", mBoard.mNow - job.mArrivedAt)
-                .with("sent_before_ms", job.mArrivedAt - job.mSentAt)
-                .with("wanted_ms", wantedMillis(job))
-                .with("tasks", job.mTasks.size())
-                .with("tasks_done", job.doneTasks())
-                .with("runs", job.mTasks.stream().mapToInt(task -> task.mRuns).sum())
-                .with("failed_runs", job.mTasks.stream().mapToInt(task -> task.mFailures).sum())
-                .with("targets", job.mTargets)
-                .write();
-    }
-
-    private long wantedMillis(ActiveJob job) {
-        return job.wantedEnd(mPlacement.longestMillis(job)) - job.mSentAt;
-    }
-
-    private void keep(String id, PoolAnswer answer) {
-        mAnswers.put(id, new KeptAnswer(answer, mBoard.mNow + ANSWER_MILLIS));
+        mAnswers.end(job, answer);
     }
 
     private void stopRuns(ActiveJob job) {
@@ -315,8 +244,4 @@
             }
         }
     }
-
-    private void answer(long token, PoolAnswer answer) {
-        mBoard.mActions.add(new PoolEntryAction.AnswerCaller(token, answer));
-    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolBoard.java
@@ -29,7 +29,7 @@
     boolean mLeaving;
     long mNow;
     final ProcessTime mTime = new ProcessTime();
-    final PoolTimes mTimes = new PoolTimes();
+    final TaskDurations mDurations = new TaskDurations();
 
     void at(long now) {
         mNow = now;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolDialer.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolDialer.java
@@ -1,18 +1,15 @@
 package org.jackdawsaddle.internal.pool;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.jackdawsaddle.ManagedService;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.PoolMessage;
-import org.jackdawsaddle.internal.runtime.Addresses;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.wire.AddressConnectors;
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.NodeChannels;
 import org.jackdawsaddle.internal.wire.WireChannel;
-import org.jackdawsaddle.internal.wire.WireConnector;
 import org.jackdawsaddle.internal.wire.WireListener;
 import org.jackdawsaddle.internal.wire.WireThreads;
 
@@ -42,9 +39,7 @@
     private final List<String> mSeeds;
     private final ControlLoop mLoop;
     private final Listener mListener;
-    private final WireThreads mThreads;
-    private final MessageCounts mCounts;
-    private final Map<String, WireConnector> mConnectors = new LinkedHashMap<>();
+    private final AddressConnectors mConnectors;
     private final NodeChannels mEntries = new NodeChannels();
 
     /**
@@ -64,8 +59,7 @@
         mSeeds = List.copyOf(seeds);
         mLoop = loop;
         mListener = listener;
-        mThreads = threads;
-        mCounts = counts;
+        mConnectors = new AddressConnectors(threads, Events::new, counts);
     }
 
     @Override
@@ -75,19 +69,14 @@
 
     @Override
     public void stop() {
-        mConnectors.values().forEach(WireConnector::stop);
+        mConnectors.stop();
     }
 
     /** Keeps a connection open to an address from now on. */
     public void connect(String address) {
-        if (address.equals(mOwnAddress) || mConnectors.containsKey(address)) {
-            return;
+        if (!address.equals(mOwnAddress) && mConnectors.connect(address)) {
+            mListener.learned(address);
         }
-        WireConnector connector =
-                new WireConnector(mThreads, Addresses.parse(address), new Events(), mCounts);
-        mConnectors.put(address, connector);
-        connector.start();
-        mListener.learned(address);
     }
 
     /** Queues a message to an entry. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -80,8 +80,8 @@
     }
 
     /** Returns how long tasks waited and runs took. */
-    public PoolTimes times() {
-        return mBoard.mTimes;
+    public TaskDurations durations() {
+        return mBoard.mDurations;
     }
 
     /** Returns how long ago the sidecar was heard that was heard least lately, in milliseconds. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarAction.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarAction.java
@@ -25,7 +25,7 @@
     record StopRun(TargetLife life, Run run, long fence) implements PoolSidecarAction {}
 
     /** Extend leases, confirm ends and ask for the lists. */
-    record Hold(
+    record Poll(
             TargetLife life,
             long number,
             Optional<Long> leaseUntil,
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
@@ -94,7 +94,7 @@
 
     /** Returns the actions that the events since the last call have led to. */
     public List<PoolSidecarAction> actions() {
-        mRuns.holdIfDue();
+        mRuns.pollIfDue();
         boolean roomChanged = !free().equals(mToldFree) || serving() != mToldServing;
         mEntries.forEach((entry, view) -> tell(entry, view, roomChanged));
         mToldFree = free();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCounter.java
@@ -14,7 +14,7 @@
     RUNS_LOST,
     RUNS_ORPHANED,
     RUNS_OF_OTHERS,
-    HOLDS_UNANSWERED,
+    POLLS_UNANSWERED,
     TARGET_LIVES;
 
     /** Returns the name of the metric without prefix. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTime.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTime.java
@@ -3,7 +3,7 @@
 /** What an entry knows of its own time: how long ago it started, and when it stood still. */
 final class ProcessTime {
     /** How long after a start sidecars may take to be found: two announcements of a target. */
-    private static final long DISCOVERY_MILLIS = 3_000;
+    private static final long FIRST_SIDECAR_MILLIS = 3_000;
 
     /** How long after the first sidecar the others may take to connect. */
     private static final long SETTLE_MILLIS = 150;
@@ -40,7 +40,7 @@
     /** Returns whether too few sidecars may be known yet to judge what can be served. */
     boolean settling() {
         return mServingAt == 0
-                ? mNow - mStartedAt < DISCOVERY_MILLIS
+                ? mNow - mStartedAt < FIRST_SIDECAR_MILLIS
                 : mNow - mServingAt < SETTLE_MILLIS;
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -28,9 +28,9 @@
  */
 final class RunTable {
     /** How long a call for lists may wait for an end; if it is lost, so long are ends not seen. */
-    private static final long HOLD_WAIT_MILLIS = 80;
+    private static final long POLL_WAIT_MILLIS = 80;
 
-    private static final long HOLD_RETRY_MILLIS = 50;
+    private static final long POLL_RETRY_MILLIS = 50;
     private static final long STOP_RETRY_MILLIS = 100;
     private static final int REMEMBERED_ENDS = 2_000;
 
@@ -56,9 +56,9 @@
             };
     private Optional<TargetLife> mTarget = Optional.empty();
     private boolean mClean;
-    private long mHoldNumber;
-    private boolean mHoldOut;
-    private long mHoldDueAt;
+    private long mPollNumber;
+    private boolean mPollOut;
+    private long mPollDueAt;
     private long mConfirmed;
     private long mToldConfirmed;
     private long mNow;
@@ -138,8 +138,8 @@
             mCounter.accept(PoolSidecarCounter.TARGET_LIVES);
             settleAll();
             mClean = false;
-            mHoldOut = false;
-            mHoldNumber++;
+            mPollOut = false;
+            mPollNumber++;
             mConfirmed = 0;
             mToldConfirmed = 0;
             mContact.heard();
@@ -153,7 +153,7 @@
     private void settleAll() {
         mHeld.values().stream()
                 .filter(held -> held.mState == HeldRun.State.RUNNING)
-                .forEach(held -> held.mSettledAtHold = mHoldNumber + 2);
+                .forEach(held -> held.mSettledAtPoll = mPollNumber + 2);
     }
 
     void start(NodeId owner, StartTask task) {
@@ -188,7 +188,7 @@
     private void stop(HeldRun held) {
         if (held.mState != HeldRun.State.STOPPING) {
             held.mState = HeldRun.State.STOPPING;
-            held.mSettledAtHold = Long.MAX_VALUE;
+            held.mSettledAtPoll = Long.MAX_VALUE;
             orderStop(held);
         }
     }
@@ -222,7 +222,7 @@
         mContact.heard();
         if (held.mState == HeldRun.State.STARTING) {
             held.mState = HeldRun.State.RUNNING;
-            held.mSettledAtHold = mHoldNumber + 1;
+            held.mSettledAtPoll = mPollNumber + 1;
         }
     }
 
@@ -253,19 +253,19 @@
         held.mStopOut = false;
         if (answered) {
             mContact.heard();
-            held.mSettledAtHold = mHoldNumber + 1;
+            held.mSettledAtPoll = mPollNumber + 1;
         }
     }
 
     void onLists(TargetLife life, long number, Optional<TargetLists> answer) {
-        if (number != mHoldNumber || !current(life)) {
+        if (number != mPollNumber || !current(life)) {
             return;
         }
-        mHoldOut = false;
+        mPollOut = false;
         if (answer.isEmpty()) {
-            mCounter.accept(PoolSidecarCounter.HOLDS_UNANSWERED);
+            mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
             mContact.unanswered(life);
-            mHoldDueAt = mNow + HOLD_RETRY_MILLIS;
+            mPollDueAt = mNow + POLL_RETRY_MILLIS;
             return;
         }
         TargetLists lists = answer.get();
@@ -280,10 +280,10 @@
         List<Run> strangers = running.stream().filter(run -> !mHeld.containsKey(run)).toList();
         strangers.forEach(this::stopStranger);
         mClean = mClean || strangers.isEmpty();
-        mHoldDueAt = mClean ? mNow : mNow + HOLD_RETRY_MILLIS;
+        mPollDueAt = mClean ? mNow : mNow + POLL_RETRY_MILLIS;
         List<HeldRun> missing =
                 mHeld.values().stream()
-                        .filter(held -> held.mSettledAtHold <= number)
+                        .filter(held -> held.mSettledAtPoll <= number)
                         .filter(held -> !running.contains(held.mTask.run()))
                         .toList();
         missing.forEach(held -> {
@@ -336,7 +336,7 @@
 
     void onTick() {
         for (HeldRun held : mHeld.values()) {
-            boolean unanswered = held.mSettledAtHold == Long.MAX_VALUE && !held.mStopOut;
+            boolean unanswered = held.mSettledAtPoll == Long.MAX_VALUE && !held.mStopOut;
             if (held.mState == HeldRun.State.STOPPING && unanswered && mNow >= held.mStopDueAt) {
                 orderStop(held);
             }
@@ -351,26 +351,26 @@
     }
 
     /** Orders a call for lists if anything runs, if ends wait to be confirmed, or at first. */
-    void holdIfDue() {
+    void pollIfDue() {
         boolean wanted =
                 !mHeld.isEmpty()
                         || !mClean
                         || mToldConfirmed != mConfirmed
                         || !mContact.responsive();
-        if (mTarget.isEmpty() || mHoldOut || !wanted || mNow < mHoldDueAt) {
+        if (mTarget.isEmpty() || mPollOut || !wanted || mNow < mPollDueAt) {
             return;
         }
-        mHoldOut = true;
-        mHoldNumber++;
+        mPollOut = true;
+        mPollNumber++;
         mToldConfirmed = mConfirmed;
         boolean renew = !mHeld.isEmpty() && !mContact.leasesMayBeOver();
         mActions.add(
-                new PoolSidecarAction.Hold(
+                new PoolSidecarAction.Poll(
                         mTarget.get(),
-                        mHoldNumber,
+                        mPollNumber,
                         renew ? Optional.of(mContact.leaseEnd()) : Optional.empty(),
                         mConfirmed,
-                        mHeld.isEmpty() ? 0 : HOLD_WAIT_MILLIS,
+                        mHeld.isEmpty() ? 0 : POLL_WAIT_MILLIS,
                         mFence));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SeatController.java
@@ -112,7 +112,7 @@
             case FAILED -> onFailed(seat, placed);
             case ENDED -> {
                 mBoard.count(PoolEntryCounter.TASKS_CUT_OFF);
-                mBoard.mTimes.ended(placed, "cut-off", mBoard.mNow);
+                mBoard.mDurations.ended(placed, "cut-off", mBoard.mNow);
                 logRetry(seat, placed, "cut off");
                 mJobs.requeue(placed);
             }
@@ -126,7 +126,7 @@
     }
 
     private void onDone(SidecarSeat seat, PlacedRun placed) {
-        mBoard.mTimes.ended(placed, "done", mBoard.mNow);
+        mBoard.mDurations.ended(placed, "done", mBoard.mNow);
         mBoard.count(PoolEntryCounter.TASKS_DONE);
         String queue = placed.mTask.mJob.mQueue.name();
         seat.mLastDoneAt = mBoard.mNow;
@@ -143,7 +143,7 @@
     }
 
     private void onFailed(SidecarSeat seat, PlacedRun placed) {
-        mBoard.mTimes.ended(placed, "failed", mBoard.mNow);
+        mBoard.mDurations.ended(placed, "failed", mBoard.mNow);
         mBoard.count(PoolEntryCounter.TASKS_FAILED);
         TaskState task = placed.mTask;
         String queue = task.mJob.mQueue.name();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTimes.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDurations.java
@@ -4,7 +4,7 @@
 import org.jackdawsaddle.internal.runtime.MetricsText;
 
 /** How long tasks waited for their first order, and how long runs took, for the metrics. */
-public final class PoolTimes {
+public final class TaskDurations {
     private final LatencyHistogram mWaits =
             new LatencyHistogram(
                     "jackdawsaddle_task_wait_seconds",
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarLinks.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/SidecarLinks.java
@@ -1,20 +1,17 @@
 package org.jackdawsaddle.internal.sidecar;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.jackdawsaddle.ManagedService;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.SidecarMessage;
-import org.jackdawsaddle.internal.runtime.Addresses;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.wire.AddressConnectors;
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.NodeChannels;
 import org.jackdawsaddle.internal.wire.WireChannel;
-import org.jackdawsaddle.internal.wire.WireConnector;
 import org.jackdawsaddle.internal.wire.WireListener;
 import org.jackdawsaddle.internal.wire.WireThreads;
 
@@ -35,8 +32,7 @@
     private final ControlLoop mLoop;
     private final Sink mSink;
     private final WireThreads mThreads;
-    private final MessageCounts mCounts;
-    private final Map<String, WireConnector> mConnectors = new LinkedHashMap<>();
+    private final AddressConnectors mConnectors;
     private final NodeChannels mEntries = new NodeChannels();
 
     /**
@@ -54,17 +50,17 @@
         mLoop = loop;
         mSink = sink;
         mThreads = threads;
-        mCounts = counts;
+        mConnectors = new AddressConnectors(threads, Listener::new, counts);
     }
 
     @Override
     public void start() {
-        mLoop.execute(() -> mSeeds.forEach(this::connect));
+        mLoop.execute(() -> mSeeds.forEach(mConnectors::connect));
     }
 
     @Override
     public void stop() {
-        mConnectors.values().forEach(WireConnector::stop);
+        mConnectors.stop();
         mThreads.stop();
     }
 
@@ -78,22 +74,10 @@
         mEntries.flush();
     }
 
-    private void connect(String address) {
-        mConnectors.computeIfAbsent(
-                address,
-                key -> {
-                    WireConnector connector =
-                            new WireConnector(
-                                    mThreads, Addresses.parse(key), new Listener(), mCounts);
-                    connector.start();
-                    return connector;
-                });
-    }
-
     private void onReceived(WireChannel channel, EntryMessage message) {
         Optional<NodeId> node = mEntries.nodeOf(channel);
         if (message instanceof EntryMessage.Welcome welcome) {
-            welcome.entryAddresses().forEach(this::connect);
+            welcome.entryAddresses().forEach(mConnectors::connect);
             if (node.isEmpty()) {
                 onFirstWelcome(channel, welcome.entry());
             }
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/TargetPort.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/TargetPort.java
@@ -43,7 +43,7 @@
      * @param confirmed the number of the last end to forget
      * @param waitMillis how long the answer may wait for an end, in milliseconds
      */
-    CompletableFuture<Optional<TargetLists>> hold(
+    CompletableFuture<Optional<TargetLists>> poll(
             TargetLife target,
             Optional<Long> leaseUntil,
             long confirmed,
