--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
@@ -0,0 +1,78 @@
+package org.jackdawsaddle.internal.pool;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.jackdawsaddle.pool.PoolConfiguration;
+import org.testng.annotations.Test;
+
+/** Plays loads of the users' kinds of jobs on pools of several sizes, in simulated time. */
+public class PoolLoadTest {
+    private static final long SEED = 1;
+    private static final long WARM_UP_MILLIS = 3_000;
+    private static final long LOAD_MILLIS = 6_000;
+
+    /** The share of the cores that the users' quiet days need. */
+    private static final double MODERATE_UTILIZATION = 0.65;
+
+    private static final double CORES_PER_WORKER = 64;
+    private static final List<Double> SPEEDS = List.of(0.6, 1.0, 1.6);
+
+    /** How many messages a task may cost on a large pool, as a multiple of those on a small one. */
+    private static final double MAX_MESSAGE_GROWTH = 1.3;
+
+    /** The messages of a task must not grow with the number of entries and sidecars. */
+    @Test
+    public void messagesPerTaskHardlyGrowWithThePool() {
+        double small = messagesPerTask(4, 11);
+        assertTrue(messagesPerTask(9, 58) <= MAX_MESSAGE_GROWTH * small);
+        assertTrue(messagesPerTask(15, 80) <= MAX_MESSAGE_GROWTH * small);
+    }
+
+    private static double messagesPerTask(int entries, int sidecars) {
+        PoolSimulation simulation = pool(entries, sidecars);
+        simulation.runUntil(simulation.mNow + WARM_UP_MILLIS, () -> {});
+        simulation.mMessageCounts.clear();
+        SimulatedLoad load = submit(simulation, MODERATE_UTILIZATION, LOAD_MILLIS);
+        simulation.runUntil(simulation.mNow + LOAD_MILLIS, () -> {});
+        return messagesPerTask(simulation, load);
+    }
+
+    private static double messagesPerTask(PoolSimulation simulation, SimulatedLoad load) {
+        long messages = simulation.mMessageCounts.values().stream().mapToLong(n -> n).sum();
+        return (double) messages / load.taskCount();
+    }
+
+    private static PoolSimulation pool(int entries, int sidecars) {
+        return new PoolSimulation(
+                SEED,
+                new PoolShape(
+                        entries,
+                        sidecars,
+                        CORES_PER_WORKER,
+                        SPEEDS,
+                        new PoolConfiguration(
+                                1,
+                                kinds(sidecars, 1).stream()
+                                        .map(SimulatedJobKind::queue)
+                                        .toList())));
+    }
+
+    /** Submits jobs from now on for a while. */
+    private static SimulatedLoad submit(
+            PoolSimulation simulation, double utilization, long millis) {
+        SimulatedLoad load = new SimulatedLoad(simulation);
+        long end = simulation.mNow + millis;
+        kinds(simulation.mShape.sidecars(), utilization).forEach(kind -> load.submit(kind, end));
+        return load;
+    }
+
+    /** Returns the kinds of jobs at rates that use a share of the cores at speed 1. */
+    private static List<SimulatedJobKind> kinds(int sidecars, double utilization) {
+        double scale = sidecars * CORES_PER_WORKER * utilization / 3_565;
+        return List.of(
+                new SimulatedJobKind("check", 0, 3, 8, 85.7, 5, 216 * scale),
+                new SimulatedJobKind("pedigree", 2, 2, 4, 1_286, 5, 39.4 * scale),
+                new SimulatedJobKind("book", 1, 3, 2, 286, 5, 630 * scale));
+    }
+}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -4,11 +4,12 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import org.jackdawsaddle.pool.PoolConfiguration;
-import org.jackdawsaddle.pool.PoolQueue;
+import java.util.TreeMap;
+import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.standin.platform.WorkerModel;
 
 /**
@@ -23,15 +24,11 @@
     static final long CALLER_TIMEOUT_MILLIS = 3_000;
     static final long RECONNECT_INTERVAL_MILLIS = 100;
     static final long RESTART_DELAY_MILLIS = 1_500;
-    static final double CORES_PER_WORKER = 16;
 
     /** Work at a simulated time; {@code number} orders the events of the same time. */
     private record ScheduledEvent(long at, long number, Runnable work) {}
 
-    static final PoolConfiguration CONFIGURATION =
-            new PoolConfiguration(
-                    1, List.of(new PoolQueue("checks", "h", "/c/", "ledger", 0, 3, 1.6, 60, 0)));
-
+    final PoolShape mShape;
     final Random mRandom;
     private final PriorityQueue<ScheduledEvent> mSchedule =
             new PriorityQueue<>(
@@ -55,11 +52,18 @@
     double mLateOrderProbability;
 
     int mSucceededJobCount;
+
+    /** Number of messages between entries and sidecars, by type. */
+    final Map<String, Long> mMessageCounts = new TreeMap<>();
+
     private int mJobCount;
     private final List<String> mHistory = new ArrayList<>();
 
-    PoolSimulation(long seed, int entries, int sidecars) {
+    PoolSimulation(long seed, PoolShape shape) {
         mRandom = new Random(seed);
+        mShape = shape;
+        int entries = shape.entries();
+        int sidecars = shape.sidecars();
         mLinksToSidecar = new SimulatedLink[entries][sidecars];
         mLinksToEntry = new SimulatedLink[entries][sidecars];
         for (int entry = 0; entry < entries; entry++) {
@@ -91,12 +95,22 @@
         if (faults) {
             at(mNow + 1_000, () -> injectFault(end));
         }
+        runUntil(end, this::checkInvariants);
+    }
+
+    /** Advances the simulated time to the given one, and runs a check after each event. */
+    void runUntil(long end, Runnable check) {
         while (!mSchedule.isEmpty() && mSchedule.peek().at() <= end) {
             ScheduledEvent next = mSchedule.poll();
             mNow = Math.max(mNow, next.at());
             next.work().run();
-            checkInvariants();
+            check.run();
         }
+        mNow = end;
+    }
+
+    void countMessage(PoolMessage message) {
+        mMessageCounts.merge(message.getClass().getSimpleName(), 1L, Long::sum);
     }
 
     private void submitJobs(long end) {
@@ -137,7 +151,7 @@
                 after(durationMillis, () -> mLateOrderProbability = 0);
             }
             case 7 -> {
-                sidecar.mWorker = new WorkerModel(CORES_PER_WORKER, 1.0, mNow);
+                sidecar.mWorker = new WorkerModel(mShape.coresPerWorker(), 1.0, mNow);
                 sidecar.mAnnouncementSequence = 0;
             }
             default -> throw new IllegalStateException();
@@ -151,7 +165,7 @@
     }
 
     /** Fails if a worker is overloaded or a task has two active runs. */
-    private void checkInvariants() {
+    void checkInvariants() {
         Set<String> running = new HashSet<>();
         for (SimulatedSidecar sidecar : mSidecars) {
             sidecar.mWorker.advance(mNow);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
@@ -4,8 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
+import org.jackdawsaddle.pool.PoolAnswer;
+import org.jackdawsaddle.pool.PoolJob;
 import org.jackdawsaddle.standin.platform.WorkerModel;
 
 /** An entry with a real {@link PoolEntryCore} in a {@link PoolSimulation}. */
@@ -21,6 +24,9 @@
 
     final Map<Long, SimulatedCaller> mCallersByToken = new HashMap<>();
 
+    /** The receivers of the answers to jobs submitted with {@link #submit}, by token. */
+    private final Map<Long, Consumer<PoolAnswer>> mReceiversByToken = new HashMap<>();
+
     SimulatedEntry(PoolSimulation simulation, int index) {
         super(simulation, "entry-" + index);
         mIndex = index;
@@ -28,17 +34,24 @@
 
     @Override
     void startCore() {
-        mCore = new PoolEntryCore(WorkerModel.LEASE_MILLIS, PoolSimulation.RESEND_MILLIS);
+        mCore = new PoolEntryCore(mName, WorkerModel.LEASE_MILLIS, PoolSimulation.RESEND_MILLIS);
         mConnectionNumbers.clear();
         mSidecarNodes.clear();
         List<SimulatedCaller> disconnected = List.copyOf(mCallersByToken.values());
         mCallersByToken.clear();
         disconnected.forEach(SimulatedCaller::onConnectionLost);
         mCore.handle(
-                new PoolEntryEvent.ConfigurationRead(PoolSimulation.CONFIGURATION),
+                new PoolEntryEvent.ConfigurationRead(mSimulation.mShape.configuration()),
                 mSimulation.mNow);
     }
 
+    /** Submits a job; the receiver gets its answer, unless the entry is killed before. */
+    void submit(PoolJob job, Consumer<PoolAnswer> receiver) {
+        long token = ++mSimulation.mLastNumber;
+        mReceiversByToken.put(token, receiver);
+        runIfAlive(mIncarnation, () -> handle(new PoolEntryEvent.JobSubmitted(token, job)));
+    }
+
     @Override
     void onTick() {
         mCore.handle(new PoolEntryEvent.Tick(), mSimulation.mNow);
@@ -78,19 +91,75 @@
     void perform() {
         for (PoolEntryAction action : mCore.actions()) {
             switch (action) {
-                case PoolEntryAction.AnswerCaller answer ->
-                        Optional.ofNullable(mCallersByToken.remove(answer.token()))
-                                .ifPresent(caller -> caller.onAnswered(answer.answer()));
+                case PoolEntryAction.AnswerCaller answer -> answerCaller(answer);
                 case PoolEntryAction.SendToSidecar send -> send(send);
                 case PoolEntryAction.DisconnectSidecar disconnect ->
                         disconnect(disconnect.sidecar());
-                case PoolEntryAction.SendToPeer send -> {}
+                case PoolEntryAction.SendToPeer send -> sendToPeer(send);
                 case PoolEntryAction.DisconnectPeer disconnect -> {}
             }
         }
     }
 
+    private void answerCaller(PoolEntryAction.AnswerCaller answer) {
+        Optional.ofNullable(mCallersByToken.remove(answer.token()))
+                .ifPresent(caller -> caller.onAnswered(answer.answer()));
+        Optional.ofNullable(mReceiversByToken.remove(answer.token()))
+                .ifPresent(receiver -> receiver.accept(answer.answer()));
+    }
+
+    /** Sends a message to another entry, which answers with a ping if it is alive. */
+    private void sendToPeer(PoolEntryAction.SendToPeer send) {
+        PoolMessage.Ping answer = new PoolMessage.Ping(1, false);
+        for (SimulatedEntry peer : mSimulation.mEntries) {
+            if (peer.mAlive && send.peer().equals(peer.node())) {
+                int incarnation = mIncarnation;
+                mSimulation.after(
+                        2,
+                        () ->
+                                runIfAlive(
+                                        incarnation,
+                                        () ->
+                                                handle(
+                                                        new PoolEntryEvent.PeerAnswered(
+                                                                send.peer(), answer))));
+            }
+        }
+    }
+
+    NodeId node() {
+        return new NodeId(mName, mIncarnation);
+    }
+
+    private void handle(PoolEntryEvent event) {
+        mCore.handle(event, mSimulation.mNow);
+    }
+
+    @Override
+    void start() {
+        super.start();
+        for (SimulatedEntry peer : mSimulation.mEntries) {
+            if (peer != this && peer.mAlive) {
+                handle(new PoolEntryEvent.PeerConnected(peer.node()));
+                peer.handle(new PoolEntryEvent.PeerConnected(node()));
+            }
+        }
+    }
+
+    @Override
+    void kill() {
+        if (mAlive) {
+            for (SimulatedEntry peer : mSimulation.mEntries) {
+                if (peer != this && peer.mAlive) {
+                    peer.handle(new PoolEntryEvent.PeerLost(node()));
+                }
+            }
+        }
+        super.kill();
+    }
+
     private void send(PoolEntryAction.SendToSidecar send) {
+        mSimulation.countMessage(send.message());
         for (SimulatedSidecar sidecar : mSimulation.mSidecars) {
             Long connectionNumber = mConnectionNumbers.get(sidecar.mIndex);
             if (connectionNumber != null
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
@@ -0,0 +1,212 @@
+package org.jackdawsaddle.internal.pool;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jackdawsaddle.pool.PoolAnswer;
+
+/**
+ * Callers that submit jobs of several kinds to the entries of a {@link PoolSimulation} at random
+ * times, each job once, and record what became of them.
+ */
+final class SimulatedLoad {
+    /** What became of a job. */
+    enum Outcome {
+        /** Completed within its response time objective. */
+        IN_TIME,
+        /** Completed within three times its objective. */
+        LATE,
+        /** Completed later, which is of no use to the caller. */
+        USELESS,
+        REFUSED,
+        FAILED,
+        /** Without an answer when the caller stopped waiting, or told so by the entry. */
+        ABANDONED
+    }
+
+    private static final int USEFUL_MULTIPLE = 3;
+
+    /** How the jobs are divided among the entries, in turn; callers stay with their entry. */
+    private static final double[] ENTRY_WEIGHTS = {1.0, 1.5, 0.5, 1.2, 0.8};
+
+    /** The outcomes of the jobs of one kind. */
+    static final class Tally {
+        private final Map<Outcome, Integer> mCounts = new EnumMap<>(Outcome.class);
+        private final Map<Outcome, Double> mCoreMillis = new EnumMap<>(Outcome.class);
+        private long mMaxRefusalMillis;
+
+        private void add(Outcome outcome, double coreMillis, long elapsedMillis) {
+            mCounts.merge(outcome, 1, Integer::sum);
+            mCoreMillis.merge(outcome, coreMillis, Double::sum);
+            if (outcome == Outcome.REFUSED) {
+                mMaxRefusalMillis = Math.max(mMaxRefusalMillis, elapsedMillis);
+            }
+        }
+
+        int count(Outcome outcome) {
+            return mCounts.getOrDefault(outcome, 0);
+        }
+
+        int total() {
+            return mCounts.values().stream().mapToInt(Integer::intValue).sum();
+        }
+
+        /** Returns the share of the jobs with an outcome. */
+        double share(Outcome outcome) {
+            return (double) count(outcome) / Math.max(1, total());
+        }
+
+        /** Returns the share of the jobs that were completed while that was of use. */
+        double servedShare() {
+            return share(Outcome.IN_TIME) + share(Outcome.LATE);
+        }
+
+        /** Returns the longest time from a job to its refusal, in milliseconds. */
+        long maxRefusalMillis() {
+            return mMaxRefusalMillis;
+        }
+
+        @Override
+        public String toString() {
+            StringBuilder text = new StringBuilder();
+            for (Outcome outcome : Outcome.values()) {
+                text.append(String.format("%s %.3f  ", outcome, share(outcome)));
+            }
+            return text + "refused within " + mMaxRefusalMillis + " ms, " + total() + " jobs";
+        }
+    }
+
+    private final PoolSimulation mSimulation;
+    private final Map<String, Tally> mTallies = new TreeMap<>();
+    private final List<Double> mCumulativeWeights = new ArrayList<>();
+    private int mJobCount;
+    private int mTaskCount;
+
+    /** Multiplies the arrival rates of all kinds. */
+    double mRateFactor = 1;
+
+    SimulatedLoad(PoolSimulation simulation) {
+        mSimulation = simulation;
+        double sum = 0;
+        for (int entry = 0; entry < simulation.mEntries.size(); entry++) {
+            sum += ENTRY_WEIGHTS[entry % ENTRY_WEIGHTS.length];
+            mCumulativeWeights.add(sum);
+        }
+    }
+
+    /** Submits jobs of a kind from now on until the given time. */
+    void submit(SimulatedJobKind kind, long end) {
+        mTallies.putIfAbsent(kind.name(), new Tally());
+        scheduleNext(kind, end, mSimulation.mNow);
+    }
+
+    /**
+     * Schedules the next job of a kind.
+     *
+     * @param previous when the previous one was due, in milliseconds since the epoch; with its
+     *     fraction, so that rates over 1,000 a second are kept
+     */
+    private void scheduleNext(SimulatedJobKind kind, long end, double previous) {
+        double meanGap = 1_000 / (kind.jobsPerSecond() * mRateFactor);
+        double at = previous - meanGap * Math.log(1 - mSimulation.mRandom.nextDouble());
+        if (at < end) {
+            mSimulation.at(
+                    (long) at,
+                    () -> {
+                        submitOne(kind);
+                        scheduleNext(kind, end, at);
+                    });
+        }
+    }
+
+    private void submitOne(SimulatedJobKind kind) {
+        mJobCount++;
+        String id = String.format("%016x", mJobCount);
+        long submittedAt = mSimulation.mNow;
+        SimulatedJobKind.Drawn drawn = kind.draw(id, mSimulation.mRandom, submittedAt);
+        mTaskCount += drawn.job().steps().get(0).tasks();
+        boolean[] answered = {false};
+        mSimulation.at(
+                drawn.job().deadline() + 1,
+                () -> {
+                    if (!answered[0]) {
+                        answered[0] = true;
+                        record(kind, drawn, submittedAt, Outcome.ABANDONED);
+                    }
+                });
+        entry().submit(
+                        drawn.job(),
+                        answer -> {
+                            if (!answered[0]) {
+                                answered[0] = true;
+                                record(
+                                        kind,
+                                        drawn,
+                                        submittedAt,
+                                        outcome(answer, drawn, submittedAt));
+                            }
+                        });
+    }
+
+    private void record(
+            SimulatedJobKind kind,
+            SimulatedJobKind.Drawn drawn,
+            long submittedAt,
+            Outcome outcome) {
+        mTallies.get(kind.name()).add(outcome, drawn.coreMillis(), mSimulation.mNow - submittedAt);
+    }
+
+    private Outcome outcome(PoolAnswer answer, SimulatedJobKind.Drawn drawn, long submittedAt) {
+        long elapsed = mSimulation.mNow - submittedAt;
+        return switch (answer) {
+            case PoolAnswer.Succeeded succeeded -> {
+                if (elapsed <= drawn.objectiveMillis()) {
+                    yield Outcome.IN_TIME;
+                }
+                yield elapsed <= USEFUL_MULTIPLE * drawn.objectiveMillis()
+                        ? Outcome.LATE
+                        : Outcome.USELESS;
+            }
+            case PoolAnswer.Failed failed -> Outcome.FAILED;
+            case PoolAnswer.Refused refused -> Outcome.REFUSED;
+            case PoolAnswer.Abandoned abandoned -> Outcome.ABANDONED;
+        };
+    }
+
+    private SimulatedEntry entry() {
+        double sum = mCumulativeWeights.get(mCumulativeWeights.size() - 1);
+        double draw = sum * mSimulation.mRandom.nextDouble();
+        int index = 0;
+        while (mCumulativeWeights.get(index) <= draw) {
+            index++;
+        }
+        return mSimulation.mEntries.get(index);
+    }
+
+    /** Returns the outcomes of a kind. */
+    Tally tally(SimulatedJobKind kind) {
+        return mTallies.get(kind.name());
+    }
+
+    /** Returns the outcomes by kind. */
+    Map<String, Tally> tallies() {
+        return mTallies;
+    }
+
+    /** Returns the share of the jobs of all kinds that were completed while that was of use. */
+    double servedShare() {
+        int served = 0;
+        int total = 0;
+        for (Tally tally : mTallies.values()) {
+            served += tally.count(Outcome.IN_TIME) + tally.count(Outcome.LATE);
+            total += tally.total();
+        }
+        return (double) served / Math.max(1, total);
+    }
+
+    int taskCount() {
+        return mTaskCount;
+    }
+}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -37,7 +37,9 @@
         mIndex = index;
         mWorker =
                 new WorkerModel(
-                        PoolSimulation.CORES_PER_WORKER, 1.0 + 0.3 * index, mSimulation.mNow);
+                        simulation.mShape.coresPerWorker(),
+                        simulation.mShape.speedOf(index),
+                        simulation.mNow);
     }
 
     @Override
@@ -100,9 +102,9 @@
                 "worker-" + mIndex,
                 mWorker.startedAt(),
                 mAnnouncementSequence,
-                "ledger",
+                PoolShape.SERVICE,
                 "",
-                new Demand(PoolSimulation.CORES_PER_WORKER, 1 << 16, 0),
+                new Demand(mWorker.cores(), 1 << 20, 0),
                 List.of(),
                 false,
                 mWorker.clock(mSimulation.mNow));
@@ -175,6 +177,7 @@
     }
 
     private void send(PoolSidecarAction.SendToEntry send) {
+        mSimulation.countMessage(send.message());
         for (SimulatedEntry entry : mSimulation.mEntries) {
             Long connectionNumber = mConnectionNumbers.get(entry.mIndex);
             if (connectionNumber != null && send.entry().equals(mEntryNodes.get(entry.mIndex))) {
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -78,11 +78,11 @@
         mConfig = config;
         mClock = clock;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
-        mCore = new PoolEntryCore(config.leaseMillis(), config.resendMillis());
+        mCore = new PoolEntryCore(config.name(), config.leaseMillis(), config.resendMillis());
         mLoop =
                 new ControlLoop(
                         "control",
-                        () -> PoolTiming.TICK_INTERVAL_MILLIS,
+                        () -> PoolTiming.tickMillis(mCore.active()),
                         this::tick,
                         this::afterBatch);
         mThreads = new WireThreads("wire", 1);
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -60,7 +60,7 @@
         mLoop =
                 new ControlLoop(
                         "control",
-                        () -> PoolTiming.TICK_INTERVAL_MILLIS,
+                        () -> PoolTiming.tickMillis(mCore.active()),
                         () -> handle(new PoolSidecarEvent.Tick()),
                         this::afterBatch);
         mThreads = new WireThreads("wire", 1);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -90,7 +90,8 @@
             implements PoolMessage {}
 
     /**
-     * The free capacity of a target; also sent periodically as a heartbeat.
+     * The free capacity of a target; also sent periodically as a heartbeat. An entry that does not
+     * watch the sidecar gets it rarely, unless it has placed runs there.
      *
      * @param free the free part of the target's capacity
      * @param serving whether the target accepts new tasks
@@ -102,7 +103,12 @@
      */
     record Room(
             Demand free, boolean serving, long clock, long handledStarts, List<String> orphanedJobs)
-            implements PoolMessage {}
+            implements PoolMessage {
+        /** Returns the same state with another number of the last start order. */
+        public Room withHandledStarts(long number) {
+            return new Room(free, serving, clock, number, orphanedJobs);
+        }
+    }
 
     /** The states of runs that the receiver has placed at the sender. */
     record TaskReports(List<TaskReport> reports) implements PoolMessage {}
@@ -137,8 +143,10 @@
      * A heartbeat of an entry, to sidecars and other entries.
      *
      * @param configurationVersion the version of the configuration in force at the sender
+     * @param watching whether the sender asks the receiving sidecar to report changes of its free
+     *     capacity at once, until a ping says otherwise; false between entries
      */
-    record Ping(long configurationVersion) implements PoolMessage {}
+    record Ping(long configurationVersion, boolean watching) implements PoolMessage {}
 
     /**
      * Identifies an entry to another one; its first message on a connection.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -35,6 +35,11 @@
     final Set<String> mTargets = new LinkedHashSet<>();
 
     private int mDoneTaskCount;
+
+    /** Number of tasks in the phase {@link TaskState.Phase#WAITING}. */
+    private int mWaitingTaskCount;
+
+    private boolean mEverPlaced;
     boolean mEnded;
 
     /**
@@ -55,11 +60,30 @@
                 mTasks.add(new TaskState(this, step, index));
             }
         }
+        mWaitingTaskCount = mTasks.size();
+    }
+
+    /** Records that a waiting task was placed on a sidecar. */
+    void markPlaced(TaskState task) {
+        task.mPhase = TaskState.Phase.PLACED;
+        mWaitingTaskCount--;
+        mEverPlaced = true;
+    }
+
+    /** Makes a placed task wait for another run; no effect on other tasks or after the end. */
+    void markWaiting(TaskState task) {
+        if (!mEnded && task.mPhase == TaskState.Phase.PLACED) {
+            task.mPhase = TaskState.Phase.WAITING;
+            mWaitingTaskCount++;
+        }
     }
 
     /** Records that a task succeeded; returns whether all tasks of the job have. */
     boolean markDone(TaskState task) {
         if (task.mPhase != TaskState.Phase.DONE) {
+            if (task.mPhase == TaskState.Phase.WAITING) {
+                mWaitingTaskCount--;
+            }
             task.mPhase = TaskState.Phase.DONE;
             mDoneTaskCount++;
         }
@@ -72,11 +96,11 @@
 
     /** Returns whether a task was ever placed on a sidecar, even if it then did not start. */
     boolean everPlaced() {
-        return mTasks.stream().anyMatch(task -> task.mLastRunNumber > 0);
+        return mEverPlaced;
     }
 
     boolean hasStartableTask() {
-        return mTasks.stream().anyMatch(this::startable);
+        return mWaitingTaskCount > 0 && mTasks.stream().anyMatch(this::startable);
     }
 
     /** Returns whether a task waits only for free capacity: the steps before it are done. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -42,6 +42,12 @@
     private final long mResendMillis;
     private final JobAnswers mAnswers;
 
+    /** The jobs that were admitted since the last dispatch. */
+    private final List<ActiveJob> mNewJobs = new ArrayList<>();
+
+    /** Whether an event since the last dispatch may have made a task placeable. */
+    private boolean mDispatchDue;
+
     JobController(
             PoolEntryState state, Placement placement, PoolAdmission admission, long resendMillis) {
         mState = state;
@@ -93,22 +99,49 @@
         }
         active.mCallerTokens.add(token);
         mState.mJobs.put(job.id(), active);
-        dispatch();
-        if (!active.everPlaced()) {
-            refuseIfTooLate(active);
+        mState.mLastAdmittedAt = mState.mNow;
+        mNewJobs.add(active);
+        mDispatchDue = true;
+    }
+
+    /** Makes the next {@link #dispatchIfDue} place tasks. */
+    void requestDispatch() {
+        mDispatchDue = true;
+    }
+
+    /**
+     * Places tasks if a dispatch was requested since the last call; then refuses the new jobs that
+     * got no capacity and would end too late. Called once for all events that are read together, as
+     * its cost grows with the number of waiting jobs and of sidecars.
+     */
+    void dispatchIfDue() {
+        if (mDispatchDue) {
+            mDispatchDue = false;
+            dispatch();
+            mNewJobs.stream()
+                    .filter(job -> !job.mEnded && !job.everPlaced())
+                    .forEach(this::refuseIfTooLate);
+            mNewJobs.clear();
         }
     }
 
     /**
      * Places startable tasks on sidecars with enough free capacity, in the order of {@link
-     * Placement#dispatchOrder}. Leaves out jobs that may still have runs of an earlier request.
+     * WaitingJob#compareTo}. Leaves out jobs that may still have runs of an earlier request.
      */
-    void dispatch() {
-        List<ActiveJob> waiting =
-                mState.mJobs.values().stream()
-                        .filter(ActiveJob::hasStartableTask)
-                        .filter(job -> !mayStillRun(job.mJob.id()))
-                        .sorted(mPlacement.dispatchOrder(mState.mNow))
+    private void dispatch() {
+        List<ActiveJob> startable =
+                mState.mJobs.values().stream().filter(ActiveJob::hasStartableTask).toList();
+        if (startable.isEmpty()) {
+            return;
+        }
+        Set<String> orphaned = orphanedJobs();
+        List<WaitingJob> waiting =
+                startable.stream()
+                        .filter(job -> !orphaned.contains(job.mJob.id()))
+                        .filter(job -> !mState.mStoppingRunCounts.containsKey(job.mJob.id()))
+                        .map(job -> new WaitingJob(job, mPlacement.late(job, mState.mNow)))
+                        .sorted()
                         .toList();
         Map<SidecarView, List<StartTask>> orders = new LinkedHashMap<>();
         Set<TargetRequirement> blocked = new HashSet<>();
@@ -116,11 +149,11 @@
         orders.forEach((sidecar, tasks) -> mState.send(sidecar, sidecar.startMessage(tasks)));
     }
 
-    /** Returns whether runs of an earlier request with the same id may still be active. */
-    private boolean mayStillRun(String id) {
-        return mState.mStoppingRunCounts.containsKey(id)
-                || mState.mSidecars.values().stream()
-                        .anyMatch(sidecar -> sidecar.mOrphanedJobs.contains(id));
+    /** Returns the jobs of lost entries that may still have runs at some sidecar. */
+    private Set<String> orphanedJobs() {
+        Set<String> orphaned = new HashSet<>();
+        mState.mSidecars.values().forEach(sidecar -> orphaned.addAll(sidecar.mOrphanedJobs));
+        return orphaned;
     }
 
     /**
@@ -128,20 +161,24 @@
      * waits.
      */
     private void place(
-            ActiveJob job,
+            WaitingJob waiting,
             Map<SidecarView, List<StartTask>> orders,
             Set<TargetRequirement> blocked) {
-        for (TaskState task : job.mTasks) {
+        for (TaskState task : waiting.job().mTasks) {
+            if (!waiting.job().startable(task)) {
+                continue;
+            }
             TargetRequirement requirement = TargetRequirement.of(task);
-            if (!job.startable(task) || blocked.contains(requirement)) {
+            if (blocked.contains(requirement)) {
                 continue;
             }
             Optional<SidecarView> sidecar =
-                    mPlacement.choose(task, mState.mSidecars.values(), mState.mNow);
+                    mPlacement.choose(task, waiting.late(), mState.mSidecars.values(), mState.mNow);
             if (sidecar.isPresent()) {
                 place(task, sidecar.get(), orders);
             } else {
                 blocked.add(requirement);
+                mState.mWaitingTask = Optional.of(task);
             }
         }
     }
@@ -151,11 +188,10 @@
         mState.count(PoolEntryCounter.TASKS_PLACED);
         Run run = task.nextRun();
         mState.mDurations.recordPlaced(task, mState.mNow);
-        task.mPhase = TaskState.Phase.PLACED;
+        task.mJob.markPlaced(task);
         task.mJob.mTargets.add(sidecar.mHello.target());
         double expectedMillis = mPlacement.expectedMillis(task) / sidecar.mSpeed.speed();
-        sidecar.mPlacedRuns.put(run, new PlacedRun(task, run, mState.mNow, expectedMillis));
-        sidecar.reserve(task.mStep.demand());
+        sidecar.addRun(new PlacedRun(task, run, mState.mNow, expectedMillis), mState.mNow);
         orders.computeIfAbsent(sidecar, key -> new ArrayList<>())
                 .add(new StartTask(run, task.mJob.mJob.payload(), task.mStep.demand()));
     }
@@ -179,9 +215,7 @@
 
     /** Makes a placed task wait for another run, unless its job has ended. */
     void requeue(PlacedRun placed) {
-        if (!placed.mTask.mJob.mEnded && placed.mTask.mPhase == TaskState.Phase.PLACED) {
-            placed.mTask.mPhase = TaskState.Phase.WAITING;
-        }
+        placed.mTask.mJob.markWaiting(placed.mTask);
     }
 
     /** Records that a task succeeded; ends the job after its last task. */
@@ -222,7 +256,7 @@
     void onTick() {
         mAnswers.evictExpired();
         List.copyOf(mState.mJobs.values()).forEach(this::endIfExpired);
-        dispatch();
+        mDispatchDue = true;
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.log.Event;
@@ -72,13 +73,18 @@
         PeerView view = new PeerView();
         view.mLastHeardAt = mState.mNow;
         mPeers.put(peer, view);
-        mState.mPeerCount = mPeers.size();
+        onPeersChanged();
         ping(peer);
     }
 
+    private void onPeersChanged() {
+        mState.mPeerNames = mPeers.keySet().stream().map(NodeId::name).collect(Collectors.toSet());
+        mState.mMembersVersion++;
+    }
+
     void onLost(NodeId peer) {
         mPeers.remove(peer);
-        mState.mPeerCount = mPeers.size();
+        onPeersChanged();
     }
 
     /**
@@ -117,12 +123,12 @@
 
     void onTick() {
         mPeers.forEach((peer, view) -> {
-            if (mState.mNow - view.mLastHeardAt > PoolTiming.CONNECTION_TIMEOUT_MILLIS) {
+            if (mState.mNow - view.mLastHeardAt > PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS) {
                 // Restarts the timeout, so that not every tick requests a disconnection.
                 view.mLastHeardAt = mState.mNow;
                 mState.mActions.add(new PoolEntryAction.DisconnectPeer(peer));
             }
-            if (mState.mNow - view.mLastSentAt >= PoolTiming.HEARTBEAT_INTERVAL_MILLIS) {
+            if (mState.mNow - view.mLastSentAt >= PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS) {
                 ping(peer);
             }
         });
@@ -134,7 +140,7 @@
     }
 
     private void ping(NodeId peer) {
-        send(peer, new PoolMessage.Ping(mState.mConfiguration.version()));
+        send(peer, new PoolMessage.Ping(mState.mConfiguration.version(), false));
     }
 
     private void send(NodeId peer, PoolMessage message) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -1,7 +1,6 @@
 package org.jackdawsaddle.internal.pool;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Optional;
 import org.jackdawsaddle.internal.target.SpeedModel;
 import org.jackdawsaddle.pool.PoolStep;
@@ -33,11 +32,15 @@
         return mSpeeds.expectedMillis(task.mJob.mQueue.name(), task.mStep.expectedMillis());
     }
 
-    /** Returns the sidecar on which to place a task now; empty if the task must wait. */
-    Optional<SidecarView> choose(TaskState task, Collection<SidecarView> sidecars, long now) {
+    /**
+     * Returns the sidecar on which to place a task now; empty if the task must wait.
+     *
+     * @param late whether the job of the task is late, see {@link #late}
+     */
+    Optional<SidecarView> choose(
+            TaskState task, boolean late, Collection<SidecarView> sidecars, long now) {
         double expectedMillis = expectedMillis(task);
         long dueAt = task.mJob.dueAt(expectedMillis);
-        boolean late = late(task.mJob, now);
         SidecarView best = null;
         for (SidecarView sidecar : sidecars) {
             if (eligible(task, sidecar, now)
@@ -109,16 +112,6 @@
                         < limit;
     }
 
-    /**
-     * Returns the dispatch order: jobs that can still meet their response time objective before
-     * late ones, then by the priority of the queue, then by when the caller first sent the job.
-     */
-    Comparator<ActiveJob> dispatchOrder(long now) {
-        return Comparator.<ActiveJob, Boolean>comparing(job -> late(job, now))
-                .thenComparingInt(job -> job.mQueue.priority())
-                .thenComparingLong(job -> job.mFirstSentAt);
-    }
-
     /**
      * Returns whether a job would miss its response time objective even if all its tasks started
      * now.
@@ -144,6 +137,13 @@
      * Returns the expected run time of the longest task on a target of speed 1, in milliseconds.
      */
     double longestTaskMillis(ActiveJob job) {
-        return job.mTasks.stream().mapToDouble(this::expectedMillis).max().orElse(0);
+        double longest = 0;
+        for (PoolStep step : job.mJob.steps()) {
+            longest =
+                    Math.max(
+                            longest,
+                            mSpeeds.expectedMillis(job.mQueue.name(), step.expectedMillis()));
+        }
+        return longest;
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAcceptor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAcceptor.java
@@ -146,7 +146,8 @@
         if (sidecar.isPresent()) {
             mListener.sidecarSent(sidecar.get(), message);
         } else if (peer != null) {
-            mSidecarChannels.write(channel, new PoolMessage.Ping(mListener.configurationVersion()));
+            mSidecarChannels.write(
+                    channel, new PoolMessage.Ping(mListener.configurationVersion(), false));
             mListener.peerSent(peer, message);
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -40,7 +40,7 @@
                 cores += sidecar.mHello.capacity().cores();
             }
         }
-        return cores / (1 + mState.mPeerCount);
+        return cores / (1 + mState.mPeerNames.size());
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -20,15 +20,17 @@
     private final JobController mJobs;
     private final SidecarController mSidecars;
     private final PeerController mPeers;
+    private final WatchController mWatches;
 
     /**
      * Creates the state of an entry without configuration, sidecars and peers.
      *
+     * @param name the name of the entry, unique among the entries
      * @param leaseMillis the longest lease that targets grant on their runs, in milliseconds
      * @param resendMillis how long a caller without an answer waits before it sends its job again,
      *     in milliseconds
      */
-    public PoolEntryCore(long leaseMillis, long resendMillis) {
+    public PoolEntryCore(String name, long leaseMillis, long resendMillis) {
         mState = new PoolEntryState();
         SpeedModel speeds = new SpeedModel();
         Placement placement = new Placement(speeds);
@@ -37,6 +39,7 @@
                         mState, placement, new PoolAdmission(mState, placement), resendMillis);
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
         mPeers = new PeerController(mState);
+        mWatches = new WatchController(mState, name);
     }
 
     /**
@@ -71,6 +74,8 @@
 
     /** Returns and clears the actions that events have caused since the last call. */
     public List<PoolEntryAction> actions() {
+        mJobs.dispatchIfDue();
+        mWatches.update();
         mState.flushStops();
         List<PoolEntryAction> actions = List.copyOf(mState.mActions);
         mState.mActions.clear();
@@ -94,7 +99,7 @@
     public long longestSilenceMillis() {
         return mState.mSidecars.values().stream()
                 .filter(sidecar -> sidecar.mConnected)
-                .mapToLong(sidecar -> mState.mNow - sidecar.mLastHeardAt)
+                .mapToLong(sidecar -> sidecar.silentMillis(mState.mNow))
                 .max()
                 .orElse(0);
     }
@@ -114,6 +119,11 @@
         return mState.mJobs.isEmpty();
     }
 
+    /** Returns whether the entry has jobs or watches sidecars. */
+    public boolean active() {
+        return !mState.mJobs.isEmpty() || mWatches.watching();
+    }
+
     /** Returns the configuration in force. */
     public PoolConfiguration configuration() {
         return mState.mConfiguration;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
@@ -29,8 +31,17 @@
     private final long[] mCounts = new long[PoolEntryCounter.values().length];
     PoolConfiguration mConfiguration = PoolConfiguration.NONE;
 
-    /** Number of other entries to which a connection is open. */
-    int mPeerCount;
+    /** The names of the other entries to which a connection is open. */
+    Set<String> mPeerNames = Set.of();
+
+    /** Increases when a sidecar or another entry connects or is lost. */
+    long mMembersVersion;
+
+    /** When a job was last admitted, in milliseconds since the epoch; 0 for never. */
+    long mLastAdmittedAt;
+
+    /** A task that found no free capacity since the watched sidecars were last chosen. */
+    Optional<TaskState> mWaitingTask = Optional.empty();
 
     boolean mLeaving;
 
@@ -53,6 +64,11 @@
         return mCounts[counter.ordinal()];
     }
 
+    /** Sends a heartbeat to a sidecar. */
+    void ping(SidecarView sidecar) {
+        send(sidecar, new PoolMessage.Ping(mConfiguration.version(), sidecar.watched()));
+    }
+
     /** Requests that a message be sent to a sidecar; drops it if the sidecar is not connected. */
     void send(SidecarView sidecar, PoolMessage message) {
         if (sidecar.mConnected) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage;
@@ -46,6 +47,15 @@
         /** When the free capacity was last sent; 0 to send it with the next actions. */
         long mRoomSentAt;
 
+        /** The free capacity that was last sent. */
+        Demand mReportedFree = Demand.NONE;
+
+        boolean mReportedServing;
+        List<String> mReportedOrphans = List.of();
+
+        /** Whether the entry has asked to learn changes of the free capacity at once. */
+        boolean mWatching;
+
         final List<TaskReport> mPendingReports = new ArrayList<>();
     }
 
@@ -71,10 +81,6 @@
 
     private boolean mLeaving;
 
-    /** The free capacity that was last sent to the entries. */
-    private Demand mReportedFree = Demand.NONE;
-
-    private boolean mReportedServing;
     private long mNow;
 
     /**
@@ -119,10 +125,13 @@
     /** Returns and clears the actions that events have caused since the last call. */
     public List<PoolSidecarAction> actions() {
         mRuns.pollIfDue();
-        boolean roomChanged = !free().equals(mReportedFree) || serving() != mReportedServing;
-        mEntries.forEach((entry, view) -> sendUpdates(entry, view, roomChanged));
-        mReportedFree = free();
-        mReportedServing = serving();
+        if (mTarget.isPresent()) {
+            Set<NodeId> owners = mRuns.owners();
+            PoolMessage.Room room =
+                    new PoolMessage.Room(free(), serving(), mNow, 0, mRuns.jobsOf(this::orphaned));
+            mEntries.forEach(
+                    (entry, view) -> sendUpdates(entry, view, room, owners.contains(entry)));
+        }
         List<PoolSidecarAction> actions = List.copyOf(mActions);
         mActions.clear();
         return actions;
@@ -229,6 +238,7 @@
     private void onConnected(NodeId entry) {
         EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
         view.mConnected = true;
+        view.mWatching = false;
         view.mLastHeardAt = mNow;
         view.mLastHandledStartNumber = 0;
         view.mRoomSentAt = 0;
@@ -275,16 +285,19 @@
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
             case PoolMessage.Resume resume ->
                     resume.runs().forEach(run -> report(entry, run, mRuns.statusOf(run)));
-            case PoolMessage.Ping ping -> onPing(entry, ping);
+            case PoolMessage.Ping ping -> onPing(entry, view, ping);
             case PoolMessage.ConfigurationPush push -> onConfiguration(push);
-            case PoolMessage.Welcome welcome -> view.mConnected = true;
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from an entry: " + message);
         }
     }
 
-    private void onPing(NodeId entry, PoolMessage.Ping ping) {
+    private void onPing(NodeId entry, EntryView view, PoolMessage.Ping ping) {
+        if (ping.watching() && !view.mWatching) {
+            view.mRoomSentAt = 0;
+        }
+        view.mWatching = ping.watching();
         if (mConfigurationPush.isPresent()
                 && ping.configurationVersion() < configurationVersion()) {
             mActions.add(new PoolSidecarAction.SendToEntry(entry, mConfigurationPush.get()));
@@ -299,7 +312,6 @@
 
     private void onStart(NodeId entry, EntryView view, PoolMessage.Start start) {
         view.mLastHandledStartNumber = start.number();
-        view.mRoomSentAt = 0;
         boolean current = start.clock() >= mNow - PoolTiming.MAX_ORDER_AGE_MILLIS;
         for (PoolMessage.StartTask task : start.tasks()) {
             Optional<ReportKind> refusal = refusal(task, current);
@@ -323,9 +335,13 @@
     }
 
     private void onTick() {
+        Set<NodeId> owners = mRuns.owners();
         mEntries.forEach((entry, view) -> {
-            if (view.mConnected
-                    && mNow - view.mLastHeardAt > PoolTiming.CONNECTION_TIMEOUT_MILLIS) {
+            long timeout =
+                    view.mWatching || owners.contains(entry)
+                            ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
+                            : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS;
+            if (view.mConnected && mNow - view.mLastHeardAt > timeout) {
                 mActions.add(new PoolSidecarAction.DisconnectEntry(entry));
                 onLost(entry);
             }
@@ -352,28 +368,52 @@
         return mNow - view.mLostAt >= PoolTiming.RECONNECT_TIMEOUT_MILLIS;
     }
 
-    private void sendUpdates(NodeId entry, EntryView view, boolean roomChanged) {
-        if (!view.mConnected || mTarget.isEmpty()) {
+    /** Returns whether anything is left to learn from the target, or entries watch the sidecar. */
+    public boolean active() {
+        return mRuns.pollNeeded() || mEntries.values().stream().anyMatch(view -> view.mWatching);
+    }
+
+    /**
+     * Sends an entry the reports on its runs, and the free capacity if that is due. A report that
+     * is sent anyway carries the free capacity with it.
+     *
+     * @param room the state to report, without the number of the entry's start order
+     * @param ownsRuns whether the sidecar holds runs of the entry
+     */
+    private void sendUpdates(
+            NodeId entry, EntryView view, PoolMessage.Room room, boolean ownsRuns) {
+        if (!view.mConnected) {
             return;
         }
+        boolean roomDue =
+                !view.mPendingReports.isEmpty()
+                        || room.serving() != view.mReportedServing
+                        || !room.orphanedJobs().equals(view.mReportedOrphans)
+                        || mNow - view.mRoomSentAt >= roomInterval(view, room.free(), ownsRuns);
         if (!view.mPendingReports.isEmpty()) {
             PoolMessage reports = new PoolMessage.TaskReports(List.copyOf(view.mPendingReports));
             mActions.add(new PoolSidecarAction.SendToEntry(entry, reports));
             view.mPendingReports.clear();
         }
-        if (roomChanged || mNow - view.mRoomSentAt >= PoolTiming.HEARTBEAT_INTERVAL_MILLIS) {
-            List<String> orphans = mRuns.jobsOf(this::orphaned);
+        if (roomDue) {
             mActions.add(
                     new PoolSidecarAction.SendToEntry(
-                            entry,
-                            new PoolMessage.Room(
-                                    free(),
-                                    serving(),
-                                    mNow,
-                                    view.mLastHandledStartNumber,
-                                    orphans)));
+                            entry, room.withHandledStarts(view.mLastHandledStartNumber)));
             view.mRoomSentAt = mNow;
+            view.mReportedFree = room.free();
+            view.mReportedServing = room.serving();
+            view.mReportedOrphans = room.orphanedJobs();
+        }
+    }
+
+    /** Returns how long after the last report of the free capacity the next one is due. */
+    private static long roomInterval(EntryView view, Demand free, boolean ownsRuns) {
+        if (view.mWatching && !free.equals(view.mReportedFree)) {
+            return PoolTiming.ROOM_INTERVAL_MILLIS;
         }
+        return view.mWatching || ownsRuns
+                ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
+                : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -2,15 +2,30 @@
 
 /** Timeouts and intervals that entries and sidecars of a pool must agree on. */
 public final class PoolTiming {
-    /** The interval of the periodic timer of entries and sidecars. */
+    /** The interval of the periodic timer of entries and sidecars that have work. */
     public static final long TICK_INTERVAL_MILLIS = 20;
 
-    /** The interval of heartbeats on each connection. */
+    /** The interval of the periodic timer of idle entries and sidecars. */
+    public static final long IDLE_TICK_INTERVAL_MILLIS = 100;
+
+    /**
+     * The interval of heartbeats on an active connection: the entry watches the sidecar or has
+     * placed runs there.
+     */
     public static final long HEARTBEAT_INTERVAL_MILLIS = 150;
 
-    /** A connection without messages for this long is closed and opened again. */
+    /** An active connection without messages for this long is closed and opened again. */
     public static final long CONNECTION_TIMEOUT_MILLIS = 600;
 
+    /** The interval of heartbeats on other connections, and of those between entries. */
+    public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 1_500;
+
+    /** The same as {@link #CONNECTION_TIMEOUT_MILLIS} for other connections. */
+    public static final long IDLE_CONNECTION_TIMEOUT_MILLIS = 4_000;
+
+    /** The shortest time between two reports of free capacity that no order has caused. */
+    public static final long ROOM_INTERVAL_MILLIS = 50;
+
     /** A longer gap between two events means that the process was paused or its clock jumped. */
     public static final long PAUSE_THRESHOLD_MILLIS = 300;
 
@@ -48,5 +63,10 @@
                 + LEASE_SLACK_MILLIS;
     }
 
+    /** Returns the interval of the periodic timer of an active or idle process. */
+    public static long tickMillis(boolean active) {
+        return active ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
+    }
+
     private PoolTiming() {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.log.Event;
@@ -53,6 +55,10 @@
                 }
             };
 
+    /** The total demand of the held runs, unless it is outdated. */
+    private Demand mUsed = Demand.NONE;
+
+    private boolean mUsedOutdated;
     private Optional<TargetIncarnation> mTarget = Optional.empty();
     private boolean mReconciled;
     private long mPollNumber;
@@ -95,12 +101,16 @@
         return mReconciled;
     }
 
+    /** Returns the demand of all runs that are not known to have ended. */
     Demand used() {
-        Demand used = Demand.NONE;
-        for (HeldRun held : mHeldRuns.values()) {
-            used = used.plus(held.mStartTask.demand());
+        if (mUsedOutdated) {
+            mUsed = Demand.NONE;
+            for (HeldRun held : mHeldRuns.values()) {
+                mUsed = mUsed.plus(held.mStartTask.demand());
+            }
+            mUsedOutdated = false;
         }
-        return used;
+        return mUsed;
     }
 
     boolean holdsTask(String task) {
@@ -111,6 +121,11 @@
         return mHeldRuns.values().stream().anyMatch(held -> held.mOwner.equals(owner));
     }
 
+    /** Returns the entries that own the held runs. */
+    Set<NodeId> owners() {
+        return mHeldRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
+    }
+
     List<String> jobsOf(Predicate<NodeId> owners) {
         return mHeldRuns.values().stream()
                 .filter(held -> owners.test(held.mOwner))
@@ -163,6 +178,7 @@
             mLiveness.recordHeard();
         }
         mHeldRuns.put(task.run(), new HeldRun(owner, task));
+        mUsedOutdated = true;
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
@@ -355,14 +371,18 @@
         }
     }
 
-    /** Requests a poll if one is due and anything is left to learn, acknowledge or renew. */
-    void pollIfDue() {
-        boolean needed =
-                !mHeldRuns.isEmpty()
+    /** Returns whether anything is left to learn from the target, to acknowledge or to renew. */
+    boolean pollNeeded() {
+        return mTarget.isPresent()
+                && (!mHeldRuns.isEmpty()
                         || !mReconciled
                         || mSentAckCursor != mAckCursor
-                        || !mLiveness.responsive();
-        if (mTarget.isEmpty() || mPollInFlight || !needed || mNow < mPollDueAt) {
+                        || !mLiveness.responsive());
+    }
+
+    /** Requests a poll if one is needed and due. */
+    void pollIfDue() {
+        if (!pollNeeded() || mPollInFlight || mNow < mPollDueAt) {
             return;
         }
         mPollInFlight = true;
@@ -393,6 +413,7 @@
     private void end(HeldRun held, ReportKind kind) {
         Run run = held.mStartTask.run();
         mHeldRuns.remove(run);
+        mUsedOutdated = true;
         mRecentEnds.put(run, kind);
         mReporter.report(held.mOwner, run, kind);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -61,10 +61,11 @@
                     .with("runs", sidecar.mPlacedRuns.size())
                     .write();
             sidecar.onConnected(mState.mNow);
+            mState.mMembersVersion++;
             otherIncarnations(sidecar.node()).forEach(other -> other.mConnected = false);
             mState.send(sidecar, new PoolMessage.Resume(List.copyOf(sidecar.mPlacedRuns.keySet())));
         }
-        sidecar.mLastHeardAt = mState.mNow;
+        sidecar.onHeard(mState.mNow);
     }
 
     /**
@@ -72,8 +73,9 @@
      * run ordered by one of its earlier incarnations is left, so those are forgotten then.
      */
     private void onRoom(SidecarView sidecar, PoolMessage.Room room) {
+        boolean startsServing = room.serving() && !sidecar.serving();
         sidecar.onRoom(room);
-        if (room.serving()) {
+        if (startsServing) {
             mState.mTimeline.recordSidecarServing();
             otherIncarnations(sidecar.node()).forEach(this::forget);
         }
@@ -91,10 +93,11 @@
             mState.count(PoolEntryCounter.SIDECARS_LOST);
             EventLog.line(Event.SIDECAR_LOST)
                     .with("sidecar", node)
-                    .with("silent_ms", mState.mNow - sidecar.mLastHeardAt)
+                    .with("silent_ms", sidecar.silentMillis(mState.mNow))
                     .with("runs", sidecar.mPlacedRuns.size())
                     .write();
             sidecar.mConnected = false;
+            mState.mMembersVersion++;
         }
     }
 
@@ -103,7 +106,7 @@
         if (sidecar == null || !sidecar.mConnected) {
             return;
         }
-        sidecar.mLastHeardAt = mState.mNow;
+        sidecar.onHeard(mState.mNow);
         switch (message) {
             case PoolMessage.Room room -> onRoom(sidecar, room);
             case PoolMessage.TaskReports reports ->
@@ -112,7 +115,7 @@
                     throw new IllegalArgumentException(
                             "Unexpected message from a sidecar: " + message);
         }
-        mJobs.dispatch();
+        mJobs.requestDispatch();
     }
 
     private void onReport(SidecarView sidecar, TaskReport report) {
@@ -214,18 +217,17 @@
         discountOwnPause();
         for (SidecarView sidecar : List.copyOf(mState.mSidecars.values())) {
             sidecar.onTick();
-            long silentMillis = mState.mNow - sidecar.mLastHeardAt;
-            if (sidecar.mConnected && silentMillis > PoolTiming.CONNECTION_TIMEOUT_MILLIS) {
+            if (sidecar.mConnected && sidecar.connectionTimedOut(mState.mNow)) {
                 mState.mActions.add(new PoolEntryAction.DisconnectSidecar(sidecar.node()));
                 onLost(sidecar.node());
             }
-            if (!sidecar.mConnected && silentMillis > mGoneAfterMillis) {
+            if (!sidecar.mConnected && sidecar.silentMillis(mState.mNow) > mGoneAfterMillis) {
                 forget(sidecar);
             } else if (sidecar.mConnected) {
                 mStallDetector.check(sidecar);
             }
-            if (mState.mNow - sidecar.mLastSentAt >= PoolTiming.HEARTBEAT_INTERVAL_MILLIS) {
-                mState.send(sidecar, new PoolMessage.Ping(mState.mConfiguration.version()));
+            if (sidecar.heartbeatDue(mState.mNow)) {
+                mState.ping(sidecar);
             }
         }
     }
@@ -239,9 +241,7 @@
         if (mLastTickAt > 0 && pauseMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
             mState.mSidecars
                     .values()
-                    .forEach(sidecar ->
-                            sidecar.mLastHeardAt =
-                                    Math.min(mState.mNow, sidecar.mLastHeardAt + pauseMillis));
+                    .forEach(sidecar -> sidecar.discountPause(pauseMillis, mState.mNow));
         }
         mLastTickAt = mState.mNow;
     }
@@ -250,7 +250,7 @@
     private void forget(SidecarView sidecar) {
         EventLog.line(Event.SIDECAR_GONE)
                 .with("sidecar", sidecar.node())
-                .with("silent_ms", mState.mNow - sidecar.mLastHeardAt)
+                .with("silent_ms", sidecar.silentMillis(mState.mNow))
                 .with("runs", sidecar.mPlacedRuns.keySet())
                 .write();
         for (Run run : List.copyOf(sidecar.mPlacedRuns.keySet())) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -26,8 +26,17 @@
 
     boolean mConnected;
 
+    /** Whether the sidecar was asked to report changes of its free capacity at once. */
+    private boolean mWatched;
+
     /** When a message from the sidecar last arrived, in milliseconds since the epoch. */
-    long mLastHeardAt;
+    private long mLastHeardAt;
+
+    /**
+     * From when the silence of the sidecar counts, in milliseconds since the epoch: when a message
+     * last arrived or, if that is later, when the connection became active.
+     */
+    private long mSilentSince;
 
     /** When a message was last sent to it, in milliseconds since the epoch; 0 for never. */
     long mLastSentAt;
@@ -71,7 +80,8 @@
 
     void onConnected(long now) {
         mConnected = true;
-        mLastHeardAt = now;
+        mWatched = false;
+        onHeard(now);
         mLastSentAt = 0;
         mLastStartNumber = 0;
         mUnacknowledgedDemand.clear();
@@ -80,6 +90,67 @@
         mServing = false;
     }
 
+    /** Records that a message has arrived from the sidecar. */
+    void onHeard(long now) {
+        mLastHeardAt = now;
+        mSilentSince = now;
+    }
+
+    /** Excludes a pause of this process from the time since the last message. */
+    void discountPause(long pauseMillis, long now) {
+        mLastHeardAt = Math.min(now, mLastHeardAt + pauseMillis);
+        mSilentSince = Math.min(now, mSilentSince + pauseMillis);
+    }
+
+    /** Returns how long the silence of the sidecar has lasted, in milliseconds. */
+    long silentMillis(long now) {
+        return now - mSilentSince;
+    }
+
+    boolean watched() {
+        return mWatched;
+    }
+
+    /** Sets whether the sidecar is watched; this must be followed by a ping that tells it so. */
+    void watch(boolean watched, long now) {
+        beforeActive(now);
+        mWatched = watched;
+    }
+
+    /** Records that a run was placed; its start order must follow. */
+    void addRun(PlacedRun placed, long now) {
+        beforeActive(now);
+        mPlacedRuns.put(placed.mRun, placed);
+        reserve(placed.mTask.mStep.demand());
+    }
+
+    private void beforeActive(long now) {
+        if (!active()) {
+            mSilentSince = Math.max(mSilentSince, now);
+        }
+    }
+
+    /** Returns whether heartbeats are frequent on the connection to the sidecar. */
+    boolean active() {
+        return mWatched || !mPlacedRuns.isEmpty();
+    }
+
+    /** Returns whether the sidecar has been silent for so long that its connection must close. */
+    boolean connectionTimedOut(long now) {
+        return silentMillis(now)
+                > (active()
+                        ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
+                        : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS);
+    }
+
+    /** Returns whether a heartbeat must be sent to the sidecar. */
+    boolean heartbeatDue(long now) {
+        return now - mLastSentAt
+                >= (active()
+                        ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
+                        : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS);
+    }
+
     void onRoom(PoolMessage.Room room) {
         mReportedFree = room.free();
         mServing = room.serving();
@@ -142,7 +213,7 @@
     }
 
     /** Deducts the demand of a task of the next start order from the free capacity. */
-    void reserve(Demand demand) {
+    private void reserve(Demand demand) {
         mUnacknowledgedDemand.merge(mLastStartNumber + 1, demand, Demand::plus);
         mMinFreeThisTick = mMinFreeThisTick.min(free());
     }
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
@@ -0,0 +1,119 @@
+package org.jackdawsaddle.internal.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Decides which sidecars an entry watches. A watched sidecar reports changes of its free capacity
+ * at once, the others only rarely, so that the messages of a task do not grow with the number of
+ * entries and sidecars.
+ *
+ * <p>Without jobs an entry watches none. Otherwise it watches a subset of the sidecars of each
+ * service, whose size follows the entry's share of them; more while tasks find no free capacity;
+ * and all that could run a waiting task if no watched one could.
+ */
+final class WatchController {
+    /** The least number of sidecars of each service to watch, if there are as many. */
+    private static final int MIN_WATCHED = 12;
+
+    /** How many times its share of the sidecars an entry watches. */
+    private static final int SHARES_WATCHED = 2;
+
+    /** How many times as many it watches while tasks find no free capacity. */
+    private static final int SHORTAGE_FACTOR = 2;
+
+    /** How long sidecars are watched after the latest job was admitted. */
+    private static final long ACTIVE_MILLIS = 2_000;
+
+    /** For how long more sidecars are watched after a task has found no free capacity. */
+    private static final long SHORTAGE_MILLIS = 1_000;
+
+    private final PoolEntryState mState;
+    private final SidecarRanking mRanking;
+    private boolean mWatching;
+
+    /** In milliseconds since the epoch. */
+    private long mShortageUntil;
+
+    /** The version of the pool's members for which {@link #mRanked} was computed. */
+    private long mRankedVersion = -1;
+
+    /** The connected sidecars of each service, those to watch first at the front. */
+    private List<List<SidecarView>> mRanked = List.of();
+
+    /**
+     * Creates a controller that watches no sidecar.
+     *
+     * @param name the name of the entry
+     */
+    WatchController(PoolEntryState state, String name) {
+        mState = state;
+        mRanking = new SidecarRanking(name);
+    }
+
+    /** Returns whether the entry watches sidecars. */
+    boolean watching() {
+        return mWatching;
+    }
+
+    /** Watches other sidecars if the jobs, the free capacity or the pool's members ask for it. */
+    void update() {
+        mWatching = !mState.mJobs.isEmpty() || mState.mNow - mState.mLastAdmittedAt < ACTIVE_MILLIS;
+        if (mState.mWaitingTask.isPresent()) {
+            mShortageUntil = mState.mNow + SHORTAGE_MILLIS;
+        }
+        if (mRankedVersion != mState.mMembersVersion) {
+            mRankedVersion = mState.mMembersVersion;
+            mRanked = rank();
+        }
+        mRanked.forEach(this::watchFirst);
+        mState.mWaitingTask.ifPresent(this::watchForTask);
+        mState.mWaitingTask = Optional.empty();
+    }
+
+    private List<List<SidecarView>> rank() {
+        Collection<List<SidecarView>> services =
+                mState.mSidecars.values().stream()
+                        .filter(sidecar -> sidecar.mConnected)
+                        .collect(Collectors.groupingBy(sidecar -> sidecar.mHello.service()))
+                        .values();
+        List<List<SidecarView>> ranked = new ArrayList<>();
+        services.forEach(service -> ranked.add(mRanking.rank(service, mState.mPeerNames)));
+        return ranked;
+    }
+
+    private void watchFirst(List<SidecarView> ranked) {
+        int count = mWatching ? watchedCount(ranked.size()) : 0;
+        for (int rank = 0; rank < ranked.size(); rank++) {
+            watch(ranked.get(rank), rank < count);
+        }
+    }
+
+    private int watchedCount(int sidecars) {
+        int entries = 1 + mState.mPeerNames.size();
+        int count = Math.max(MIN_WATCHED, Math.ceilDiv(SHARES_WATCHED * sidecars, entries));
+        return mState.mNow < mShortageUntil ? SHORTAGE_FACTOR * count : count;
+    }
+
+    /** Watches all sidecars that could run a task if no watched one could. */
+    private void watchForTask(TaskState task) {
+        List<SidecarView> candidates =
+                mState.mSidecars.values().stream()
+                        .filter(SidecarView::serving)
+                        .filter(sidecar -> Placement.couldRun(task.mJob, task.mStep, sidecar))
+                        .toList();
+        if (candidates.stream().noneMatch(SidecarView::watched)) {
+            candidates.forEach(sidecar -> watch(sidecar, true));
+        }
+    }
+
+    private void watch(SidecarView sidecar, boolean watched) {
+        if (sidecar.mConnected && sidecar.watched() != watched) {
+            sidecar.watch(watched, mState.mNow);
+            mState.ping(sidecar);
+        }
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -63,7 +63,8 @@
             case Resume resume -> envelope.getPoolResumeBuilder().addAllRuns(encode(resume.runs()));
             case Ping ping ->
                     envelope.getPoolPingBuilder()
-                            .setConfigurationVersion(ping.configurationVersion());
+                            .setConfigurationVersion(ping.configurationVersion())
+                            .setWatching(ping.watching());
             case PeerHello hello ->
                     envelope.getPoolPeerHelloBuilder()
                             .setEntry(WireCodec.encode(hello.entry()))
@@ -97,7 +98,10 @@
             case POOL_START -> decode(envelope.getPoolStart());
             case POOL_STOP -> new Stop(decode(envelope.getPoolStop().getRunsList()));
             case POOL_RESUME -> new Resume(decode(envelope.getPoolResume().getRunsList()));
-            case POOL_PING -> new Ping(envelope.getPoolPing().getConfigurationVersion());
+            case POOL_PING ->
+                    new Ping(
+                            envelope.getPoolPing().getConfigurationVersion(),
+                            envelope.getPoolPing().getWatching());
             case POOL_PEER_HELLO ->
                     new PeerHello(
                             WireCodec.decode(envelope.getPoolPeerHello().getEntry()),
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -40489,6 +40489,12 @@
      * @return The configurationVersion.
      */
     long getConfigurationVersion();
+
+    /**
+     * <code>bool watching = 2;</code>
+     * @return The watching.
+     */
+    boolean getWatching();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolPing}
@@ -40543,6 +40549,17 @@
       return configurationVersion_;
     }
 
+    public static final int WATCHING_FIELD_NUMBER = 2;
+    private boolean watching_ = false;
+    /**
+     * <code>bool watching = 2;</code>
+     * @return The watching.
+     */
+    @java.lang.Override
+    public boolean getWatching() {
+      return watching_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -40560,6 +40577,9 @@
       if (configurationVersion_ != 0L) {
         output.writeUInt64(1, configurationVersion_);
       }
+      if (watching_ != false) {
+        output.writeBool(2, watching_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -40568,6 +40588,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(1, configurationVersion_);
       }
+      if (watching_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, watching_);
+      }
       return size;
     }
     @java.lang.Override
@@ -40594,6 +40618,8 @@
 
       if (getConfigurationVersion()
           != other.getConfigurationVersion()) return false;
+      if (getWatching()
+          != other.getWatching()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -40608,6 +40634,9 @@
       hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getConfigurationVersion());
+      hash = (37 * hash) + WATCHING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWatching());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -40740,6 +40769,7 @@
         super.clear();
         bitField0_ = 0;
         configurationVersion_ = 0L;
+        watching_ = false;
         return this;
       }
 
@@ -40776,6 +40806,9 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.configurationVersion_ = configurationVersion_;
         }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.watching_ = watching_;
+        }
       }
 
       @java.lang.Override
@@ -40793,6 +40826,9 @@
         if (other.getConfigurationVersion() != 0L) {
           setConfigurationVersion(other.getConfigurationVersion());
         }
+        if (other.getWatching() != false) {
+          setWatching(other.getWatching());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -40822,6 +40858,11 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
+              case 16: {
+                watching_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -40871,6 +40912,38 @@
         return this;
       }
 
+      private boolean watching_ ;
+      /**
+       * <code>bool watching = 2;</code>
+       * @return The watching.
+       */
+      @java.lang.Override
+      public boolean getWatching() {
+        return watching_;
+      }
+      /**
+       * <code>bool watching = 2;</code>
+       * @param value The watching to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWatching(boolean value) {
+
+        watching_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool watching = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWatching() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        watching_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolPing)
     }
 
@@ -43285,14 +43358,14 @@
       "k\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.jackda" +
       "wsaddle.wire.PoolRun\";\n\nPoolResume\022-\n\004ru" +
       "ns\030\001 \003(\0132\037.org.jackdawsaddle.wire.PoolRu" +
-      "n\")\n\010PoolPing\022\035\n\025configuration_version\030\001" +
-      " \001(\004\"n\n\rPoolPeerHello\022-\n\005entry\030\001 \001(\0132\036.o" +
-      "rg.jackdawsaddle.wire.NodeId\022\017\n\007address\030" +
-      "\002 \001(\t\022\035\n\025configuration_version\030\003 \001(\004\" \n\013" +
-      "PoolMembers\022\021\n\taddresses\030\001 \003(\t\"6\n\025PoolCo" +
-      "nfigurationPush\022\017\n\007version\030\001 \001(\004\022\014\n\004text" +
-      "\030\002 \001(\tB-\n%org.jackdawsaddle.internal.wir" +
-      "e.protoB\004Wireb\006proto3"
+      "n\";\n\010PoolPing\022\035\n\025configuration_version\030\001" +
+      " \001(\004\022\020\n\010watching\030\002 \001(\010\"n\n\rPoolPeerHello\022" +
+      "-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
+      "NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configuration" +
+      "_version\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddress" +
+      "es\030\001 \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007ver" +
+      "sion\030\001 \001(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdaws" +
+      "addle.internal.wire.protoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -43567,7 +43640,7 @@
     internal_static_org_jackdawsaddle_wire_PoolPing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolPing_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", });
+        new java.lang.String[] { "ConfigurationVersion", "Watching", });
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_descriptor =
       getDescriptor().getMessageType(45);
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_fieldAccessorTable = new
