Place tasks where they are in time, started jobs first, and refuse hopeless jobs by measured rates

Cause, seen in simulated time on 9 entries x 40 sidecars under loads of 1.1, 1.4 and 2.0 times the cores: jobs whose tasks had partly started stood back once they were late and ended at their deadline (4 to 10%); tasks took any free target, also one too slow for them, which made the job late though a faster one would have been free milliseconds later; refusals waited for a limit of seconds.

Change: jobs that have started go first; a task that could still be in time on some target takes no other; a forecast from the work placed lately, for each class of jobs (late or not, priority), refuses at once what will not be served in three times its objective; Retry-After follows that wait and differs by job. Placing moves to TaskDispatcher. Expired answers are evicted without a walk over all of them.

The three tests fail on the code before.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.jackdawsaddle.pool.PoolConfiguration;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Plays loads of the users' kinds of jobs on pools of several sizes, in simulated time. */
@@ -18,6 +19,16 @@
     private static final double CORES_PER_WORKER = 64;
     private static final List<Double> SPEEDS = List.of(0.6, 1.0, 1.6);
 
+    /** How long the last jobs of a load may take. */
+    private static final long DRAIN_MILLIS = 10_000;
+
+    /** The share of the cores at speed 1 whose work must be served under overload. */
+    private static final double MIN_CAPACITY_USED = 0.95;
+
+    private static final double MIN_IN_TIME_OF_SERVED = 0.8;
+    private static final double MAX_ABANDONED = 0.01;
+    private static final long MAX_MEDIAN_REFUSAL_MILLIS = 500;
+
     /** How many messages a task may cost on a large pool, as a multiple of those on a small one. */
     private static final double MAX_MESSAGE_GROWTH = 1.3;
 
@@ -38,6 +49,30 @@
         return messagesPerTask(simulation, load);
     }
 
+    @DataProvider
+    public Object[][] overloads() {
+        return new Object[][] {{1.1}, {1.4}, {2.0}};
+    }
+
+    /**
+     * Steady load beyond capacity: what can be served is served, mostly in time, and the rest is
+     * refused soon and not held until its caller stops waiting.
+     *
+     * @param utilization the load as a share of the cores at speed 1
+     */
+    @Test(dataProvider = "overloads")
+    public void servesInTimeWhatItCanAndRefusesTheRestUnderOverload(double utilization) {
+        PoolSimulation simulation = pool(9, 40);
+        simulation.runUntil(simulation.mNow + WARM_UP_MILLIS, () -> {});
+        SimulatedLoad load = submit(simulation, utilization, LOAD_MILLIS);
+        simulation.runUntil(simulation.mNow + LOAD_MILLIS + DRAIN_MILLIS, () -> {});
+        String outcomes = load.tallies().toString();
+        assertTrue(load.servedWorkShare() >= MIN_CAPACITY_USED / utilization, outcomes);
+        assertTrue(load.inTimeShareOfServed() >= MIN_IN_TIME_OF_SERVED, outcomes);
+        assertTrue(load.share(SimulatedLoad.Outcome.ABANDONED) <= MAX_ABANDONED, outcomes);
+        assertTrue(load.medianRefusalMillis() <= MAX_MEDIAN_REFUSAL_MILLIS, outcomes);
+    }
+
     private static double messagesPerTask(PoolSimulation simulation, SimulatedLoad load) {
         long messages = simulation.mMessageCounts.values().stream().mapToLong(n -> n).sum();
         return (double) messages / load.taskCount();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
@@ -35,13 +35,13 @@
     static final class Tally {
         private final Map<Outcome, Integer> mCounts = new EnumMap<>(Outcome.class);
         private final Map<Outcome, Double> mCoreMillis = new EnumMap<>(Outcome.class);
-        private long mMaxRefusalMillis;
+        private final List<Long> mRefusalMillis = new ArrayList<>();
 
         private void add(Outcome outcome, double coreMillis, long elapsedMillis) {
             mCounts.merge(outcome, 1, Integer::sum);
             mCoreMillis.merge(outcome, coreMillis, Double::sum);
             if (outcome == Outcome.REFUSED) {
-                mMaxRefusalMillis = Math.max(mMaxRefusalMillis, elapsedMillis);
+                mRefusalMillis.add(elapsedMillis);
             }
         }
 
@@ -49,6 +49,10 @@
             return mCounts.getOrDefault(outcome, 0);
         }
 
+        double coreMillis(Outcome outcome) {
+            return mCoreMillis.getOrDefault(outcome, 0.0);
+        }
+
         int total() {
             return mCounts.values().stream().mapToInt(Integer::intValue).sum();
         }
@@ -58,23 +62,13 @@
             return (double) count(outcome) / Math.max(1, total());
         }
 
-        /** Returns the share of the jobs that were completed while that was of use. */
-        double servedShare() {
-            return share(Outcome.IN_TIME) + share(Outcome.LATE);
-        }
-
-        /** Returns the longest time from a job to its refusal, in milliseconds. */
-        long maxRefusalMillis() {
-            return mMaxRefusalMillis;
-        }
-
         @Override
         public String toString() {
             StringBuilder text = new StringBuilder();
             for (Outcome outcome : Outcome.values()) {
                 text.append(String.format("%s %.3f  ", outcome, share(outcome)));
             }
-            return text + "refused within " + mMaxRefusalMillis + " ms, " + total() + " jobs";
+            return text + "of " + total() + " jobs";
         }
     }
 
@@ -185,11 +179,6 @@
         return mSimulation.mEntries.get(index);
     }
 
-    /** Returns the outcomes of a kind. */
-    Tally tally(SimulatedJobKind kind) {
-        return mTallies.get(kind.name());
-    }
-
     /** Returns the outcomes by kind. */
     Map<String, Tally> tallies() {
         return mTallies;
@@ -197,13 +186,40 @@
 
     /** Returns the share of the jobs of all kinds that were completed while that was of use. */
     double servedShare() {
-        int served = 0;
-        int total = 0;
+        return share(Outcome.IN_TIME) + share(Outcome.LATE);
+    }
+
+    /** Returns the share of the jobs of all kinds with an outcome. */
+    double share(Outcome outcome) {
+        int count = mTallies.values().stream().mapToInt(tally -> tally.count(outcome)).sum();
+        int total = mTallies.values().stream().mapToInt(Tally::total).sum();
+        return (double) count / Math.max(1, total);
+    }
+
+    /** Returns the share of the work of all jobs that was completed while that was of use. */
+    double servedWorkShare() {
+        double served = 0;
+        double total = 0;
         for (Tally tally : mTallies.values()) {
-            served += tally.count(Outcome.IN_TIME) + tally.count(Outcome.LATE);
-            total += tally.total();
+            served += tally.coreMillis(Outcome.IN_TIME) + tally.coreMillis(Outcome.LATE);
+            for (Outcome outcome : Outcome.values()) {
+                total += tally.coreMillis(outcome);
+            }
         }
-        return (double) served / Math.max(1, total);
+        return served / Math.max(1, total);
+    }
+
+    /** Returns how many of the jobs that were completed while that was of use were in time. */
+    double inTimeShareOfServed() {
+        return share(Outcome.IN_TIME) / servedShare();
+    }
+
+    /** Returns the median time from a job to its refusal, in milliseconds; 0 without refusals. */
+    long medianRefusalMillis() {
+        List<Long> times = new ArrayList<>();
+        mTallies.values().forEach(tally -> times.addAll(tally.mRefusalMillis));
+        times.sort(null);
+        return times.isEmpty() ? 0 : times.get(times.size() / 2);
     }
 
     int taskCount() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobAnswers.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobAnswers.java
@@ -1,5 +1,6 @@
 package org.jackdawsaddle.internal.pool;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -34,7 +35,10 @@
 
     /** Removes the answers whose retention time is over. */
     void evictExpired() {
-        mRetained.values().removeIf(retained -> retained.expiresAt() <= mState.mNow);
+        Iterator<RetainedAnswer> oldestFirst = mRetained.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().expiresAt() <= mState.mNow) {
+            oldestFirst.remove();
+        }
     }
 
     /** Answers one request of a caller. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -1,49 +1,28 @@
 package org.jackdawsaddle.internal.pool;
 
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
-import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.jackdawsaddle.pool.PoolJob;
 import org.jackdawsaddle.pool.PoolQueue;
 
-/** Admits jobs, places their tasks, and ends jobs with an answer. */
+/** Admits jobs, decides when their tasks are placed, and ends jobs with an answer. */
 final class JobController {
     /** How long a job without a suitable target waits for the discovery of one before it fails. */
     private static final long DISCOVERY_TIMEOUT_MILLIS = 300;
 
-    /** After this delay a refused caller may retry. */
-    private static final long RETRY_AFTER_MILLIS = 1_000;
-
-    /** What a task needs of its target; a task that waits blocks later ones with the same needs. */
-    private record TargetRequirement(
-            String service,
-            Optional<String> label,
-            boolean needsAccelerator,
-            boolean limitedPerTarget) {
-        static TargetRequirement of(TaskState task) {
-            return new TargetRequirement(
-                    task.mJob.mQueue.service(),
-                    task.mStep.requiredLabel(),
-                    task.mStep.demand().accelerators() > 0,
-                    task.mStep.maxPerTarget() > 0);
-        }
-    }
-
     private final PoolEntryState mState;
     private final Placement mPlacement;
     private final PoolAdmission mAdmission;
     private final long mResendMillis;
     private final JobAnswers mAnswers;
 
-    /** The jobs that were admitted since the last dispatch. */
-    private final List<ActiveJob> mNewJobs = new ArrayList<>();
+    private final QueueForecast mForecast;
+    private final TaskDispatcher mDispatcher;
+
+    /** Whether time has passed or a job was admitted since the last forecast. */
+    private boolean mForecastDue;
 
     /** Whether an event since the last dispatch may have made a task placeable. */
     private boolean mDispatchDue;
@@ -55,6 +34,8 @@
         mAdmission = admission;
         mResendMillis = resendMillis;
         mAnswers = new JobAnswers(state, placement);
+        mForecast = new QueueForecast(placement);
+        mDispatcher = new TaskDispatcher(state, placement, mForecast);
     }
 
     /**
@@ -88,7 +69,8 @@
             mAnswers.refuse(
                     token,
                     job,
-                    new PoolAnswer.Refused("the queue was removed", RETRY_AFTER_MILLIS));
+                    new PoolAnswer.Refused(
+                            "the queue was removed", RetryDelay.millis(job.id(), 0)));
             return;
         }
         ActiveJob active = new ActiveJob(job, queue.get(), mState.mNow, mResendMillis);
@@ -100,7 +82,7 @@
         active.mCallerTokens.add(token);
         mState.mJobs.put(job.id(), active);
         mState.mLastAdmittedAt = mState.mNow;
-        mNewJobs.add(active);
+        mForecastDue = true;
         mDispatchDue = true;
     }
 
@@ -110,90 +92,34 @@
     }
 
     /**
-     * Places tasks if a dispatch was requested since the last call; then refuses the new jobs that
-     * got no capacity and would end too late. Called once for all events that are read together, as
-     * its cost grows with the number of waiting jobs and of sidecars.
+     * Places tasks if a dispatch was requested since the last call, then refuses the jobs that are
+     * hopeless. Called once for all events that are read together, as its cost grows with the
+     * number of waiting jobs and of sidecars.
      */
     void dispatchIfDue() {
-        if (mDispatchDue) {
-            mDispatchDue = false;
-            dispatch();
-            mNewJobs.stream()
-                    .filter(job -> !job.mEnded && !job.everPlaced())
-                    .forEach(this::refuseIfTooLate);
-            mNewJobs.clear();
-        }
-    }
-
-    /**
-     * Places startable tasks on sidecars with enough free capacity, in the order of {@link
-     * WaitingJob#compareTo}. Leaves out jobs that may still have runs of an earlier request.
-     */
-    private void dispatch() {
-        List<ActiveJob> startable =
-                mState.mJobs.values().stream().filter(ActiveJob::hasStartableTask).toList();
-        if (startable.isEmpty()) {
+        if (!mDispatchDue) {
             return;
         }
-        Set<String> orphaned = orphanedJobs();
-        List<WaitingJob> waiting =
-                startable.stream()
-                        .filter(job -> !orphaned.contains(job.mJob.id()))
-                        .filter(job -> !mState.mStoppingRunCounts.containsKey(job.mJob.id()))
-                        .map(job -> new WaitingJob(job, mPlacement.late(job, mState.mNow)))
-                        .sorted()
-                        .toList();
-        Map<SidecarView, List<StartTask>> orders = new LinkedHashMap<>();
-        Set<TargetRequirement> blocked = new HashSet<>();
-        waiting.forEach(job -> place(job, orders, blocked));
-        orders.forEach((sidecar, tasks) -> mState.send(sidecar, sidecar.startMessage(tasks)));
-    }
-
-    /** Returns the jobs of lost entries that may still have runs at some sidecar. */
-    private Set<String> orphanedJobs() {
-        Set<String> orphaned = new HashSet<>();
-        mState.mSidecars.values().forEach(sidecar -> orphaned.addAll(sidecar.mOrphanedJobs));
-        return orphaned;
+        mDispatchDue = false;
+        List<WaitingJob> waiting = mDispatcher.dispatch();
+        if (mForecastDue) {
+            mForecastDue = false;
+            refuseHopeless(waiting);
+        }
     }
 
-    /**
-     * Places the startable tasks of a job, except those with the needs of an earlier task that
-     * waits.
-     */
-    private void place(
-            WaitingJob waiting,
-            Map<SidecarView, List<StartTask>> orders,
-            Set<TargetRequirement> blocked) {
-        for (TaskState task : waiting.job().mTasks) {
-            if (!waiting.job().startable(task)) {
-                continue;
-            }
-            TargetRequirement requirement = TargetRequirement.of(task);
-            if (blocked.contains(requirement)) {
-                continue;
-            }
-            Optional<SidecarView> sidecar =
-                    mPlacement.choose(task, waiting.late(), mState.mSidecars.values(), mState.mNow);
-            if (sidecar.isPresent()) {
-                place(task, sidecar.get(), orders);
-            } else {
-                blocked.add(requirement);
-                mState.mWaitingTask = Optional.of(task);
-            }
+    /** Refuses the jobs that cannot be served while their answer is of use. */
+    private void refuseHopeless(List<WaitingJob> waiting) {
+        if (!mState.mTimeline.discovering()) {
+            mForecast
+                    .hopeless(waiting, mAdmission.coreShare(), mState.mNow)
+                    .forEach(hopeless -> end(hopeless.job(), refusal(hopeless)));
         }
     }
 
-    private void place(
-            TaskState task, SidecarView sidecar, Map<SidecarView, List<StartTask>> orders) {
-        mState.count(PoolEntryCounter.TASKS_PLACED);
-        Run run = task.nextRun();
-        mState.mDurations.recordPlaced(task, mState.mNow);
-        task.mJob.markPlaced(task);
-        task.mJob.mTargets.add(sidecar.mHello.target());
-        double expectedMillis = mPlacement.expectedMillis(task) / sidecar.mSpeed.speed();
-        sidecar.addRun(new PlacedRun(task, run, mState.mNow, expectedMillis), mState.mNow);
-        orders.computeIfAbsent(sidecar, key -> new ArrayList<>())
-                .add(new StartTask(run, task.mJob.mJob.payload(), task.mStep.demand()));
+    private static PoolAnswer refusal(QueueForecast.Hopeless hopeless) {
+        return new PoolAnswer.Refused(
+                "overloaded", RetryDelay.millis(hopeless.job().mJob.id(), hopeless.waitMillis()));
     }
 
     /**
@@ -256,6 +182,7 @@
     void onTick() {
         mAnswers.evictExpired();
         List.copyOf(mState.mJobs.values()).forEach(this::endIfExpired);
+        mForecastDue = true;
         mDispatchDue = true;
     }
 
@@ -270,7 +197,7 @@
                     job,
                     job.everPlaced()
                             ? new PoolAnswer.Abandoned(reason)
-                            : new PoolAnswer.Refused(reason, RETRY_AFTER_MILLIS));
+                            : new PoolAnswer.Refused(reason, RetryDelay.millis(job.mJob.id(), 0)));
         } else if (!job.everPlaced()) {
             endIfUnplaceable(job);
         }
@@ -287,7 +214,8 @@
 
     private void refuseIfTooLate(ActiveJob job) {
         if (!mPlacement.useful(job, mState.mNow)) {
-            end(job, new PoolAnswer.Refused("waited too long for room", RETRY_AFTER_MILLIS));
+            long retryMillis = RetryDelay.millis(job.mJob.id(), 0);
+            end(job, new PoolAnswer.Refused("waited too long for room", retryMillis));
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -11,8 +11,11 @@
  * with the most free cores. Sidecars where the task has not failed come before all others, and
  * among those the ones with the preferred label.
  *
- * <p>Tasks of late jobs only get capacity that has been free for a while without any entry claiming
- * it, as other entries may have jobs that can still be in time.
+ * <p>While a task could still end in time on some target, even on one that is full now, it gets no
+ * target that would make it late: under load that capacity is left to tasks that are in time there.
+ *
+ * <p>Tasks of late jobs that have not started only get capacity that has been free for a while
+ * without any entry claiming it, as other entries may have jobs that can still be in time.
  */
 final class Placement {
     /** Time for the start to reach the target and for the result to come back. */
@@ -35,16 +38,19 @@
     /**
      * Returns the sidecar on which to place a task now; empty if the task must wait.
      *
-     * @param late whether the job of the task is late, see {@link #late}
+     * @param unclaimedOnly whether the task may only take capacity that no entry has claimed for a
+     *     while, see {@link WaitingJob#yields}
      */
     Optional<SidecarView> choose(
-            TaskState task, boolean late, Collection<SidecarView> sidecars, long now) {
+            TaskState task, boolean unclaimedOnly, Collection<SidecarView> sidecars, long now) {
         double expectedMillis = expectedMillis(task);
         long dueAt = task.mJob.dueAt(expectedMillis);
+        boolean inTimeOnly = inTimeSomewhere(task, sidecars, expectedMillis, dueAt - now);
         SidecarView best = null;
         for (SidecarView sidecar : sidecars) {
             if (eligible(task, sidecar, now)
-                    && (!late || sidecar.fitsUnclaimedCapacity(task.mStep.demand()))
+                    && (!inTimeOnly || inTime(sidecar, expectedMillis, dueAt - now))
+                    && (!unclaimedOnly || sidecar.fitsUnclaimedCapacity(task.mStep.demand()))
                     && (best == null || better(sidecar, best, expectedMillis, dueAt - now, task))) {
                 best = sidecar;
             }
@@ -52,6 +58,25 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whether a task could end in time on some serving target, even if that is full now.
+     */
+    private static boolean inTimeSomewhere(
+            TaskState task,
+            Collection<SidecarView> sidecars,
+            double expectedMillis,
+            long remainingMillis) {
+        for (SidecarView sidecar : sidecars) {
+            if (sidecar.serving()
+                    && sidecar.watched()
+                    && inTime(sidecar, expectedMillis, remainingMillis)
+                    && couldRun(task.mJob, task.mStep, sidecar)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether a sidecar suits a task better than the best one so far. */
     private boolean better(
             SidecarView sidecar,
@@ -133,6 +158,22 @@
                 <= job.mFirstSentAt + USEFUL_MULTIPLE * responseTimeObjectiveMillis;
     }
 
+    /** Returns the expected work of a task at speed 1, in core milliseconds. */
+    double expectedWork(TaskState task) {
+        return expectedMillis(task) * task.mStep.demand().cores();
+    }
+
+    /** Returns the expected work of the tasks of a job that wait, in core milliseconds. */
+    double waitingWork(ActiveJob job) {
+        double work = 0;
+        for (TaskState task : job.mTasks) {
+            if (task.mPhase == TaskState.Phase.WAITING) {
+                work += expectedWork(task);
+            }
+        }
+        return work;
+    }
+
     /**
      * Returns the expected run time of the longest task on a target of speed 1, in milliseconds.
      */
