Learn the rates of waiting jobs only while they wait; take no delay in this process for a resend

Change: a class has a rate of its own once its jobs have waited for 0.3 s of the last second, else the entry's share of the cores; a resend is told by half a resend delay.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
@@ -1,5 +1,6 @@
 package org.jackdawsaddle.internal.pool;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -19,6 +20,11 @@
     private static final double CORES_PER_WORKER = 64;
     private static final List<Double> SPEEDS = List.of(0.6, 1.0, 1.6);
 
+    private static final double LOW_UTILIZATION = 0.45;
+
+    /** How long a process that gets little processor time takes for an event. */
+    private static final double SLOW_EVENT_MILLIS = 1.5;
+
     /** How long the last jobs of a load may take. */
     private static final long DRAIN_MILLIS = 10_000;
 
@@ -73,6 +79,19 @@
         assertTrue(load.medianRefusalMillis() <= MAX_MEDIAN_REFUSAL_MILLIS, outcomes);
     }
 
+    /** Processes that are slow at each event: jobs wait in them, which is no sign of overload. */
+    @Test
+    public void refusesNothingAtModerateLoadOnSlowProcesses() {
+        PoolSimulation simulation = pool(6, 18);
+        simulation.mEventCostMillis = SLOW_EVENT_MILLIS;
+        simulation.runUntil(simulation.mNow + WARM_UP_MILLIS, () -> {});
+        SimulatedLoad load = submit(simulation, LOW_UTILIZATION, LOAD_MILLIS);
+        simulation.runUntil(simulation.mNow + LOAD_MILLIS + DRAIN_MILLIS, () -> {});
+        String outcomes = load.tallies().toString();
+        assertEquals(load.share(SimulatedLoad.Outcome.REFUSED), 0.0, outcomes);
+        assertTrue(load.inTimeShareOfServed() >= MIN_IN_TIME_OF_SERVED, outcomes);
+    }
+
     private static double messagesPerTask(PoolSimulation simulation, SimulatedLoad load) {
         long messages = simulation.mMessageCounts.values().stream().mapToLong(n -> n).sum();
         return (double) messages / load.taskCount();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -48,6 +48,9 @@
     /** The latest number given to an event, a connection or a call. */
     long mLastNumber;
 
+    /** How long a process takes for each event, in milliseconds; 0 for no time at all. */
+    double mEventCostMillis;
+
     /** The share of orders that arrive seconds late. */
     double mLateOrderProbability;
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
@@ -13,6 +13,9 @@
 
     boolean mAlive;
 
+    /** Until when the process is busy with earlier work, in milliseconds since the epoch. */
+    private double mBusyUntil;
+
     /** Until when the process is frozen, in milliseconds since the epoch. */
     long mFrozenUntil;
 
@@ -33,10 +36,27 @@
             mSimulation.at(mFrozenUntil + 1, () -> runIfAlive(incarnation, work));
             return;
         }
+        if (mSimulation.mEventCostMillis > 0) {
+            runWhenIdle(incarnation, work);
+            return;
+        }
         work.run();
         perform();
     }
 
+    /** Executes work after the work that waits already, and keeps the process busy meanwhile. */
+    private void runWhenIdle(int incarnation, Runnable work) {
+        mBusyUntil = Math.max(mBusyUntil, mSimulation.mNow) + mSimulation.mEventCostMillis;
+        mSimulation.at(
+                (long) mBusyUntil,
+                () -> {
+                    if (mAlive && incarnation == mIncarnation) {
+                        work.run();
+                        perform();
+                    }
+                });
+    }
+
     /** Sends a tick to the core, now and at each interval until the incarnation is killed. */
     void tickPeriodically(int incarnation) {
         if (mAlive && incarnation == mIncarnation) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -21,8 +21,9 @@
 
     /**
      * When the caller first sent the job, in milliseconds since the epoch. An estimate: a request
-     * with less time left than the patience of the queue is taken for a resend, sent one resend
-     * delay after the first request.
+     * that lacks more than half a resend delay of the patience of the queue is taken for a resend,
+     * sent one resend delay after the first request. One that lacks less has waited in this
+     * process.
      */
     final long mFirstSentAt;
 
@@ -53,7 +54,8 @@
         mJob = job;
         mQueue = queue;
         mArrivedAt = arrivedAt;
-        boolean sentBefore = job.deadline() - arrivedAt < queue.patienceMillis();
+        long missingMillis = queue.patienceMillis() - (job.deadline() - arrivedAt);
+        boolean sentBefore = missingMillis > resendMillis / 2;
         mFirstSentAt = sentBefore ? arrivedAt - resendMillis : arrivedAt;
         for (int step = 0; step < job.steps().size(); step++) {
             for (int index = 0; index < job.steps().get(step).tasks(); index++) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/QueueForecast.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/QueueForecast.java
@@ -18,11 +18,11 @@
     /** How far back placed work counts. */
     private static final long WINDOW_MILLIS = 1_000;
 
-    /** The least rate assumed for all work, as a part of the entry's share of the cores. */
-    private static final double MIN_RATE_OF_SHARE = 0.3;
+    /** For so much of the window jobs of a class must have waited before its rate is known. */
+    private static final long MIN_BACKLOG_MILLIS = 300;
 
-    /** The least rate assumed for a class of jobs, as a part of the rate of all work. */
-    private static final double MIN_RATE_OF_CLASS = 0.1;
+    /** The least rate assumed for a class of jobs, as a part of the entry's share of the cores. */
+    private static final double MIN_RATE_OF_SHARE = 0.03;
 
     /** Jobs that are dispatched one after the other. */
     private record JobClass(boolean late, int priority) {}
@@ -37,10 +37,19 @@
 
     private final Placement mPlacement;
 
-    /** Work that was placed, in core milliseconds at speed 1. */
-    private final WindowedSum mPlacedWork = new WindowedSum(WINDOW_MILLIS);
+    /** What became of the jobs of a class in the latest window. */
+    private static final class ClassHistory {
+        /** Work that was placed, in core milliseconds at speed 1. */
+        final WindowedSum mPlacedWork = new WindowedSum(WINDOW_MILLIS);
 
-    private final Map<JobClass, WindowedSum> mPlacedWorkByClass = new HashMap<>();
+        /** For how long jobs have waited, in milliseconds. */
+        final WindowedSum mBacklogMillis = new WindowedSum(WINDOW_MILLIS);
+    }
+
+    private final Map<JobClass, ClassHistory> mHistories = new HashMap<>();
+
+    /** When {@link #hopeless} was last called, in milliseconds since the epoch. */
+    private long mLastForecastAt;
 
     QueueForecast(Placement placement) {
         mPlacement = placement;
@@ -48,11 +57,7 @@
 
     /** Records that a task of a job was placed. */
     void recordPlaced(WaitingJob waiting, TaskState task, long now) {
-        double work = mPlacement.expectedWork(task);
-        mPlacedWork.add(work, now);
-        mPlacedWorkByClass
-                .computeIfAbsent(classOf(waiting), key -> new WindowedSum(WINDOW_MILLIS))
-                .add(work, now);
+        history(classOf(waiting)).mPlacedWork.add(mPlacement.expectedWork(task), now);
     }
 
     /**
@@ -63,18 +68,18 @@
      *     tells nothing about how long jobs will wait
      */
     List<Hopeless> hopeless(List<WaitingJob> waiting, double coreShare, long now) {
-        double rate = Math.max(mPlacedWork.sum(now) / WINDOW_MILLIS, MIN_RATE_OF_SHARE * coreShare);
-        if (rate <= 0) {
+        recordBacklog(waiting, now);
+        if (coreShare <= 0) {
             return List.of();
         }
         Map<JobClass, Double> workAhead = new HashMap<>();
         List<Hopeless> hopeless = new ArrayList<>();
         for (WaitingJob job : waiting) {
             JobClass jobClass = classOf(job);
-            long waitMillis = waitMillis(jobClass, workAhead, rate, now);
+            long waitMillis = waitMillis(jobClass, workAhead, coreShare, now);
             if (!job.late() && mPlacement.late(job.job(), now + waitMillis)) {
                 JobClass lateClass = new JobClass(true, jobClass.priority());
-                waitMillis = Math.max(waitMillis, waitMillis(lateClass, workAhead, rate, now));
+                waitMillis = Math.max(waitMillis, waitMillis(lateClass, workAhead, coreShare, now));
             }
             if (!job.started() && !mPlacement.useful(job.job(), now + waitMillis)) {
                 hopeless.add(new Hopeless(job.job(), waitMillis));
@@ -85,12 +90,32 @@
         return hopeless;
     }
 
+    /** Adds the time since the last forecast to the backlog of each class with waiting jobs. */
+    private void recordBacklog(List<WaitingJob> waiting, long now) {
+        long elapsedMillis = Math.min(now - mLastForecastAt, PoolTiming.TICK_INTERVAL_MILLIS);
+        mLastForecastAt = now;
+        waiting.stream()
+                .map(QueueForecast::classOf)
+                .distinct()
+                .forEach(jobClass -> history(jobClass).mBacklogMillis.add(elapsedMillis, now));
+    }
+
     private long waitMillis(
-            JobClass jobClass, Map<JobClass, Double> workAhead, double rate, long now) {
-        WindowedSum placed = mPlacedWorkByClass.get(jobClass);
-        double placedRate = placed == null ? 0 : placed.sum(now) / WINDOW_MILLIS;
-        double classRate = Math.max(placedRate, MIN_RATE_OF_CLASS * rate);
-        return Math.round(workAhead.getOrDefault(jobClass, 0.0) / classRate);
+            JobClass jobClass, Map<JobClass, Double> workAhead, double coreShare, long now) {
+        double rate = Math.max(rate(jobClass, coreShare, now), MIN_RATE_OF_SHARE * coreShare);
+        return Math.round(workAhead.getOrDefault(jobClass, 0.0) / rate);
+    }
+
+    /** Returns the cores that work for a class; the whole share while nothing else is known. */
+    private double rate(JobClass jobClass, double coreShare, long now) {
+        ClassHistory history = history(jobClass);
+        return history.mBacklogMillis.sum(now) < MIN_BACKLOG_MILLIS
+                ? coreShare
+                : history.mPlacedWork.sum(now) / WINDOW_MILLIS;
+    }
+
+    private ClassHistory history(JobClass jobClass) {
+        return mHistories.computeIfAbsent(jobClass, key -> new ClassHistory());
     }
 
     private static JobClass classOf(WaitingJob waiting) {
