--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/JobTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/JobTable.java
@@ -31,10 +31,7 @@
     /** The ids of ended jobs, in the order of their end, in which they are forgotten. */
     private final Deque<SubmissionId> mExpiryQueue = new ArrayDeque<>();
 
-    /**
-     * The ids of ended jobs, in the order in which their answers are dropped; ids that have been
-     * forgotten stay in it until their turn.
-     */
+    /** The ids of ended jobs with an answer, in the order in which these are dropped. */
     private final Deque<SubmissionId> mRetainedAnswers = new ArrayDeque<>();
 
     /** The queues by service. */
@@ -42,10 +39,7 @@
 
     private final LimitUse mLimits = new LimitUse();
 
-    /**
-     * The total size of the answers that were not dropped, in chars, including those of forgotten
-     * ids, which are never subtracted.
-     */
+    /** The total size of the answers that were not dropped, in chars. */
     private long mAnswerChars;
 
     Optional<Job> activeJob(SubmissionId id) {
@@ -64,6 +58,11 @@
         return mActive.isEmpty();
     }
 
+    /** Returns the number of ids in the order in which their answers are dropped. */
+    int retainedAnswerCount() {
+        return mRetainedAnswers.size();
+    }
+
     int endedCount() {
         return mEnded.size();
     }
@@ -102,15 +101,18 @@
     /**
      * Keeps the answer to a submission until {@link #forgetExpired} forgets its id. If the answers
      * become larger than {@link #MAX_ANSWER_CHARS} in total, the oldest are replaced by an error.
-     * The answer of an id that was forgotten before its answer was dropped counts towards the total
-     * for good.
      */
     void remember(EndedJob ended) {
-        if (mEnded.put(ended.id(), ended) == null) {
+        EndedJob previous = mEnded.put(ended.id(), ended);
+        if (previous == null) {
             mExpiryQueue.add(ended.id());
+        } else {
+            mAnswerChars -= size(previous.answer());
+        }
+        if (size(ended.answer()) > 0) {
+            mRetainedAnswers.add(ended.id());
+            mAnswerChars += size(ended.answer());
         }
-        mRetainedAnswers.add(ended.id());
-        mAnswerChars += size(ended.answer());
         while (mAnswerChars > MAX_ANSWER_CHARS) {
             dropOldestAnswer();
         }
@@ -141,7 +143,10 @@
     void forgetExpired(long now) {
         long oldest = now - Timing.ID_LIFETIME_MILLIS - Timing.MAX_CLOCK_SKEW_MILLIS;
         while (!mExpiryQueue.isEmpty() && mExpiryQueue.peek().unixMillis() < oldest) {
-            mEnded.remove(mExpiryQueue.poll());
+            mAnswerChars -= size(mEnded.remove(mExpiryQueue.poll()).answer());
+        }
+        while (!mRetainedAnswers.isEmpty() && !mEnded.containsKey(mRetainedAnswers.peek())) {
+            mRetainedAnswers.poll();
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/StartedTasks.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/sidecar/StartedTasks.java
@@ -18,9 +18,7 @@
  * They show which start requests are duplicates, or come after a stop.
  *
  * <p>A task stays on record until its submission id is too old to be accepted. Answers are evicted,
- * oldest first, when their total size exceeds a limit; the task itself stays on record. The size of
- * answers whose task was removed with its expired id is not deducted from the total, so that the
- * room for answers shrinks over time.
+ * oldest first, when their total size exceeds a limit; the task itself stays on record.
  */
 final class StartedTasks {
     private static final long MAX_TOTAL_BODY_CHARS = 4_000_000;
@@ -39,13 +37,21 @@
         return mTasksBySubmission.getOrDefault(id, Set.of()).stream().map(mResults::get).toList();
     }
 
+    /** Returns the number of tasks in the order in which their answers are evicted. */
+    int retainedBodyCount() {
+        return mEvictionQueue.size();
+    }
+
     int size() {
         return mResults.size();
     }
 
     void put(TaskResult result) {
         TaskKey task = result.task();
-        if (mResults.put(task, result) == null) {
+        TaskResult previous = mResults.put(task, result);
+        if (previous != null) {
+            mTotalBodyChars -= previous.body().length();
+        } else {
             Set<TaskKey> tasks = mTasksBySubmission.get(task.id());
             if (tasks == null) {
                 tasks = new HashSet<>(2);
@@ -63,7 +69,7 @@
 
     /** Removes a task that did not reach the target, so that a later start is not a duplicate. */
     void remove(TaskKey task) {
-        mResults.remove(task);
+        removeResult(task);
         Optional.ofNullable(mTasksBySubmission.get(task.id()))
                 .ifPresent(tasks -> tasks.remove(task));
     }
@@ -76,7 +82,17 @@
     void removeExpired(long now) {
         long oldestKeptMillis = now - Timing.ID_LIFETIME_MILLIS - 2 * Timing.MAX_CLOCK_SKEW_MILLIS;
         while (!mExpiryQueue.isEmpty() && mExpiryQueue.peek().unixMillis() < oldestKeptMillis) {
-            mTasksBySubmission.remove(mExpiryQueue.poll()).forEach(mResults::remove);
+            mTasksBySubmission.remove(mExpiryQueue.poll()).forEach(this::removeResult);
+        }
+        while (!mEvictionQueue.isEmpty() && !mResults.containsKey(mEvictionQueue.peek())) {
+            mEvictionQueue.remove();
+        }
+    }
+
+    private void removeResult(TaskKey task) {
+        TaskResult removed = mResults.remove(task);
+        if (removed != null) {
+            mTotalBodyChars -= removed.body().length();
         }
     }
 
