--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
@@ -31,7 +31,7 @@
     private record Running(String task, int run, double cores, long endsAt) {}
 
     private final double mCores;
-    private final double mSpeed;
+    private double mSpeed;
     private final long mStartedAt;
     private final Map<String, Running> mRunning = new LinkedHashMap<>();
 
@@ -63,6 +63,11 @@
         mStartedAt = startedAt;
     }
 
+    /** Sets the speed of the runs that start from now on. */
+    public void setSpeed(double speed) {
+        mSpeed = speed;
+    }
+
     /** Sets whether every run fails as soon as it starts. */
     public void setFailing(boolean failing) {
         mFailing = failing;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
@@ -40,14 +40,14 @@
     @Test
     public void reservesNewlyFreedCapacityForJobsThatAreNotLate() {
         SidecarView sidecar = sidecar("a", 0);
-        sidecar.onTick();
-        sidecar.onTick();
+        sidecar.onTick(NOW);
+        sidecar.onTick(NOW);
         sidecar.onRoom(new PoolMessage.Room(new Demand(16, 1_000, 0), true, NOW, 0, List.of()));
         assertEquals(chooseTarget(List.of(sidecar), 85, 0), "target-a");
         assertEquals(chooseSidecar(List.of(sidecar), 85, 1_000), Optional.empty());
-        sidecar.onTick();
+        sidecar.onTick(NOW);
         assertEquals(chooseSidecar(List.of(sidecar), 85, 1_000), Optional.empty());
-        sidecar.onTick();
+        sidecar.onTick(NOW);
         assertEquals(chooseTarget(List.of(sidecar), 85, 1_000), "target-a");
     }
 
@@ -79,8 +79,8 @@
         sidecar.onConnected(NOW);
         sidecar.onRoom(
                 new PoolMessage.Room(new Demand(freeCores, 1_000, 0), true, NOW, 0, List.of()));
-        sidecar.onTick();
-        sidecar.onTick();
+        sidecar.onTick(NOW);
+        sidecar.onTick(NOW);
         return sidecar;
     }
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
@@ -25,6 +25,18 @@
     /** How long a process that gets little processor time takes for an event. */
     private static final double SLOW_EVENT_MILLIS = 1.5;
 
+    /** Each worker with an index that is a multiple of this turns slow. */
+    private static final int SLOW_WORKER_PERIOD = 5;
+
+    /** How many times slower these workers become. */
+    private static final double SLOWDOWN = 6;
+
+    /** The capacity that is left is enough for all jobs. */
+    private static final double MIN_SERVED_WITH_SLOW_WORKERS = 0.95;
+
+    /** A tenth may be late while the new speeds are learned. */
+    private static final double MIN_IN_TIME_WITH_SLOW_WORKERS = 0.9;
+
     /** How long the last jobs of a load may take. */
     private static final long DRAIN_MILLIS = 10_000;
 
@@ -79,6 +91,27 @@
         assertTrue(load.medianRefusalMillis() <= MAX_MEDIAN_REFUSAL_MILLIS, outcomes);
     }
 
+    /** A fifth of the workers turn several times slower: they soon get only what fits them. */
+    @Test
+    public void avoidsWorkersThatTurnSlow() {
+        PoolSimulation simulation = pool(9, 40);
+        simulation.runUntil(simulation.mNow + WARM_UP_MILLIS, () -> {});
+        long turnSlowAt = simulation.mNow + LOAD_MILLIS;
+        submit(simulation, MODERATE_UTILIZATION, LOAD_MILLIS);
+        simulation.runUntil(turnSlowAt, () -> {});
+        for (SimulatedSidecar sidecar : simulation.mSidecars) {
+            if (sidecar.mIndex % SLOW_WORKER_PERIOD == 0) {
+                double speed = simulation.mShape.speedOf(sidecar.mIndex);
+                sidecar.mWorker.setSpeed(speed / SLOWDOWN);
+            }
+        }
+        SimulatedLoad load = submit(simulation, MODERATE_UTILIZATION, LOAD_MILLIS);
+        simulation.runUntil(turnSlowAt + LOAD_MILLIS + DRAIN_MILLIS, () -> {});
+        String outcomes = load.tallies().toString();
+        assertTrue(load.servedShare() >= MIN_SERVED_WITH_SLOW_WORKERS, outcomes);
+        assertTrue(load.inTimeShareOfServed() >= MIN_IN_TIME_WITH_SLOW_WORKERS, outcomes);
+    }
+
     /** Processes that are slow at each event: jobs wait in them, which is no sign of overload. */
     @Test
     public void refusesNothingAtModerateLoadOnSlowProcesses() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -96,7 +96,7 @@
         if (inTime != inTime(best, expectedMillis, remainingMillis)) {
             return inTime;
         }
-        int faster = Double.compare(sidecar.mSpeed.speed(), best.mSpeed.speed());
+        int faster = Double.compare(sidecar.speed(), best.speed());
         if (faster != 0) {
             return inTime == faster < 0;
         }
@@ -105,8 +105,7 @@
 
     private static boolean inTime(
             SidecarView sidecar, double expectedMillis, long remainingMillis) {
-        return expectedMillis / sidecar.mSpeed.conservativeSpeed() + OVERHEAD_MILLIS
-                <= remainingMillis;
+        return expectedMillis / sidecar.conservativeSpeed() + OVERHEAD_MILLIS <= remainingMillis;
     }
 
     private static boolean preferred(TaskState task, SidecarView sidecar) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -216,7 +216,7 @@
     void onTick() {
         discountOwnPause();
         for (SidecarView sidecar : List.copyOf(mState.mSidecars.values())) {
-            sidecar.onTick();
+            sidecar.onTick(mState.mNow);
             if (sidecar.mConnected && sidecar.connectionTimedOut(mState.mNow)) {
                 mState.mActions.add(new PoolEntryAction.DisconnectSidecar(sidecar.node()));
                 onLost(sidecar.node());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -14,6 +14,9 @@
 
 /** What an entry knows of one incarnation of a sidecar, and the runs that it has placed there. */
 final class SidecarView {
+    /** Declared times may explain runs that take this many times as long as expected. */
+    private static final double MIN_SLOWDOWN = 2;
+
     final Map<Run, PlacedRun> mPlacedRuns = new LinkedHashMap<>();
     final TargetHealth mHealth = new TargetHealth();
     final TargetSpeed mSpeed = new TargetSpeed();
@@ -62,6 +65,9 @@
     /** The least free capacity since the last tick. */
     private Demand mMinFreeThisTick = Demand.NONE;
 
+    /** How many times slower the target is than its learned speed; 1 unless runs show it. */
+    private double mSlowdown = 1;
+
     private boolean mServing;
 
     /** The sidecar's clock in its latest report, which start orders quote. */
@@ -189,7 +195,39 @@
                 && mPlacedRuns.size() < mHealth.allowedTasks(now, Integer.MAX_VALUE);
     }
 
-    void onTick() {
+    /** Returns the estimated speed of the target, lowered while its runs take too long. */
+    double speed() {
+        return mSpeed.speed() / mSlowdown;
+    }
+
+    /** Returns the estimated speed, lowered by its uncertainty and while runs take too long. */
+    double conservativeSpeed() {
+        return mSpeed.conservativeSpeed() / mSlowdown;
+    }
+
+    /**
+     * Updates how much slower the target is than its learned speed, as its current runs show it: by
+     * how many times the second slowest of them has exceeded its expected time, if that is beyond
+     * what wrong declared times explain. A target that turns slow shows this long before the first
+     * of its runs ends.
+     */
+    private void updateSlowdown(long now) {
+        double slowest = 0;
+        double secondSlowest = 0;
+        for (PlacedRun run : mPlacedRuns.values()) {
+            double ratio = (now - run.mPlacedAt) / Math.max(1, run.mExpectedMillis);
+            if (ratio > slowest) {
+                secondSlowest = slowest;
+                slowest = ratio;
+            } else {
+                secondSlowest = Math.max(secondSlowest, ratio);
+            }
+        }
+        mSlowdown = secondSlowest > MIN_SLOWDOWN ? secondSlowest : 1;
+    }
+
+    void onTick(long now) {
+        updateSlowdown(now);
         mMinFreeLastTick = mMinFreeThisTick;
         mMinFreeThisTick = free();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
@@ -10,13 +10,15 @@
  * <p>The model is {@code log(run time) = log(declared time) + bias(kind) - log(speed(target))}.
  * Bias and speed are fitted online by gradient steps on the residual, which is clamped to a factor
  * of about 20 either way. The learning rate of a speed falls with the number of observations down
- * to a minimum, so that the estimate keeps following changes. Not thread-safe.
+ * to a minimum, so that the estimate keeps following slow changes, and rises again while run times
+ * show that the speed has changed at once. Not thread-safe.
  */
 public final class SpeedModel {
     private static final double INITIAL_LEARNING_RATE = 0.5;
     private static final double MIN_LEARNING_RATE = 0.02;
     private static final double BIAS_LEARNING_RATE = 0.02;
     private static final double MAX_LOG_RESIDUAL = 3.0;
+
     private static final double MIN_SPEED = 0.01;
     private static final double MAX_SPEED = 100.0;
 
@@ -38,13 +40,19 @@
         double residual = Math.log(Math.max(1.0, runMillis)) - expectedLog;
         residual = Math.clamp(residual, -MAX_LOG_RESIDUAL, MAX_LOG_RESIDUAL);
         targetSpeed.mObservationCount++;
-        double learningRate =
-                Math.max(MIN_LEARNING_RATE, INITIAL_LEARNING_RATE / targetSpeed.mObservationCount);
-        double speed = targetSpeed.mSpeed * Math.exp(-learningRate * residual);
+        targetSpeed.recordResidual(residual);
+        double speed = targetSpeed.mSpeed * Math.exp(-learningRate(targetSpeed) * residual);
         targetSpeed.mSpeed = Math.clamp(speed, MIN_SPEED, MAX_SPEED);
         mLogBiasByKind.put(kind, logBias + BIAS_LEARNING_RATE * residual);
     }
 
+    private static double learningRate(TargetSpeed targetSpeed) {
+        return targetSpeed.changed()
+                ? INITIAL_LEARNING_RATE
+                : Math.max(
+                        MIN_LEARNING_RATE, INITIAL_LEARNING_RATE / targetSpeed.mObservationCount);
+    }
+
     /**
      * Returns the run time to expect at speed 1, in milliseconds: the declared time multiplied by
      * {@code exp(bias(kind))}.
