Send configurations to the watched subset; let outliers move no bias; fewer idle heartbeats

A job that fits no target was refused as hopeless before it failed (LocalPlatformTest, a job without a declared time). Run times of workers that had turned slow raised the bias of their kind of job, and so its objective, for all targets.

Change: the configuration is written once and sent to the sidecars that the entry would watch first. The forecast leaves out what fits no target. Outliers do not move the bias; a target that was seen to be slow counts as slow for another second. Heartbeats of idle connections come each 2.5 s, their time-out is 6 s.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolLoadTest.java
@@ -10,7 +10,7 @@
 
 /** Plays loads of the users' kinds of jobs on pools of several sizes, in simulated time. */
 public class PoolLoadTest {
-    private static final long SEED = 1;
+    private static final long SEED = Long.getLong("pool.load.seed", 1);
     private static final long WARM_UP_MILLIS = 3_000;
     private static final long LOAD_MILLIS = 6_000;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -108,11 +108,16 @@
         }
     }
 
-    /** Refuses the jobs that cannot be served while their answer is of use. */
+    /**
+     * Refuses the jobs that cannot be served while their answer is of use. Leaves out those that
+     * fit no target, which fail unless a larger target is discovered soon.
+     */
     private void refuseHopeless(List<WaitingJob> waiting) {
         if (!mState.mTimeline.discovering()) {
+            List<WaitingJob> placeable =
+                    waiting.stream().filter(job -> mAdmission.everyTaskFits(job.job())).toList();
             mForecast
-                    .hopeless(waiting, mAdmission.coreShare(), mState.mNow)
+                    .hopeless(placeable, mAdmission.coreShare(), mState.mNow)
                     .forEach(hopeless -> end(hopeless.job(), refusal(hopeless)));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -32,14 +32,16 @@
     private final PoolEntryState mState;
     private final Map<NodeId, PeerView> mPeers = new HashMap<>();
 
+    /** The message that sends the configuration in force. */
+    private PoolMessage.ConfigurationPush mPush = new PoolMessage.ConfigurationPush(0, "");
+
     PeerController(PoolEntryState state) {
         mState = state;
     }
 
     /**
-     * Puts a configuration in force if its version is higher than that in force. Pushes it to the
-     * sidecars that have announced an older one, and pings the other entries: each answers with its
-     * version, and is sent the configuration if that is older.
+     * Puts a configuration in force if its version is higher than that in force, and pings the
+     * other entries: each answers with its version, and is sent the configuration if that is older.
      *
      * @param source where it comes from, for the log
      */
@@ -55,17 +57,23 @@
                 .write();
         mState.count(PoolEntryCounter.CONFIGURATIONS_APPLIED);
         mState.mConfiguration = configuration;
+        mPush =
+                new PoolMessage.ConfigurationPush(
+                        configuration.version(), Json.write(configuration));
         mPeers.keySet().forEach(this::ping);
-        mState.mSidecars.values().forEach(this::pushConfiguration);
     }
 
     /**
-     * Sends the configuration to a sidecar that has announced an older one. The sidecar passes it
-     * on to entries that start while the store is unavailable.
+     * Sends the configuration to the preferred sidecars that have an older one. They pass it on to
+     * entries that start while the store is unavailable. The others get it from the entries that
+     * prefer them.
      */
-    void pushConfiguration(SidecarView sidecar) {
-        if (sidecar.mHello.configurationVersion() < mState.mConfiguration.version()) {
-            mState.send(sidecar, configurationPush());
+    void pushConfigurationToSidecars() {
+        for (SidecarView sidecar : mState.mPreferredSidecars) {
+            if (sidecar.mConnected && sidecar.mConfigurationVersion < mPush.version()) {
+                sidecar.mConfigurationVersion = mPush.version();
+                mState.send(sidecar, mPush);
+            }
         }
     }
 
@@ -117,7 +125,7 @@
 
     private void pushConfigurationIfOlder(NodeId peer, long version) {
         if (version < mState.mConfiguration.version()) {
-            send(peer, configurationPush());
+            send(peer, mPush);
         }
     }
 
@@ -134,11 +142,6 @@
         });
     }
 
-    private PoolMessage configurationPush() {
-        return new PoolMessage.ConfigurationPush(
-                mState.mConfiguration.version(), Json.write(mState.mConfiguration));
-    }
-
     private void ping(NodeId peer) {
         send(peer, new PoolMessage.Ping(mState.mConfiguration.version(), false));
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -55,7 +55,8 @@
             case PoolEntryEvent.JobCancelled cancelled -> mJobs.cancel(cancelled.id());
             case PoolEntryEvent.ConfigurationRead read ->
                     mPeers.onConfiguration(read.configuration(), "the store");
-            case PoolEntryEvent.SidecarAnnounced announced -> onAnnounced(announced.hello());
+            case PoolEntryEvent.SidecarAnnounced announced ->
+                    mSidecars.onAnnounced(announced.hello());
             case PoolEntryEvent.SidecarLost lost -> mSidecars.onLost(lost.sidecar());
             case PoolEntryEvent.SidecarSent sent -> onSidecarSent(sent.sidecar(), sent.message());
             case PoolEntryEvent.PeerConnected connected -> mPeers.onConnected(connected.peer());
@@ -76,6 +77,7 @@
     public List<PoolEntryAction> actions() {
         mJobs.dispatchIfDue();
         mWatches.update();
+        mPeers.pushConfigurationToSidecars();
         mState.flushStops();
         List<PoolEntryAction> actions = List.copyOf(mState.mActions);
         mState.mActions.clear();
@@ -137,11 +139,6 @@
                 .count();
     }
 
-    private void onAnnounced(PoolMessage.Hello hello) {
-        mSidecars.onAnnounced(hello);
-        mPeers.pushConfiguration(mState.mSidecars.get(hello.sidecar()));
-    }
-
     private void onSidecarSent(NodeId sidecar, PoolMessage message) {
         if (message instanceof PoolMessage.ConfigurationPush push) {
             mPeers.onConfiguration(
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -37,6 +37,9 @@
     /** Increases when a sidecar or another entry connects or is lost. */
     long mMembersVersion;
 
+    /** The sidecars that the entry uses first, whether it watches them now or not. */
+    List<SidecarView> mPreferredSidecars = List.of();
+
     /** When a job was last admitted, in milliseconds since the epoch; 0 for never. */
     long mLastAdmittedAt;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -18,10 +18,10 @@
     public static final long CONNECTION_TIMEOUT_MILLIS = 600;
 
     /** The interval of heartbeats on other connections, and of those between entries. */
-    public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 1_500;
+    public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 2_500;
 
     /** The same as {@link #CONNECTION_TIMEOUT_MILLIS} for other connections. */
-    public static final long IDLE_CONNECTION_TIMEOUT_MILLIS = 4_000;
+    public static final long IDLE_CONNECTION_TIMEOUT_MILLIS = 6_000;
 
     /** The shortest time between two reports of free capacity that no order has caused. */
     public static final long ROOM_INTERVAL_MILLIS = 50;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -54,6 +54,7 @@
         SidecarView sidecar =
                 mState.mSidecars.computeIfAbsent(hello.sidecar(), node -> new SidecarView(hello));
         sidecar.mHello = hello;
+        sidecar.mConfigurationVersion = hello.configurationVersion();
         if (!sidecar.mConnected) {
             EventLog.line(Event.SIDECAR_CONNECTED)
                     .with("sidecar", hello.sidecar())
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -17,6 +17,9 @@
     /** Declared times may explain runs that take this many times as long as expected. */
     private static final double MIN_SLOWDOWN = 2;
 
+    /** For how long a target counts as slow after its runs have last shown it. */
+    private static final long SLOWDOWN_MILLIS = 1_000;
+
     final Map<Run, PlacedRun> mPlacedRuns = new LinkedHashMap<>();
     final TargetHealth mHealth = new TargetHealth();
     final TargetSpeed mSpeed = new TargetSpeed();
@@ -44,6 +47,9 @@
     /** When a message was last sent to it, in milliseconds since the epoch; 0 for never. */
     long mLastSentAt;
 
+    /** The version of the latest configuration that it has announced or was sent. */
+    long mConfigurationVersion;
+
     /** Until when the sidecar gets no new tasks, in milliseconds since the epoch. */
     long mBackoffUntil;
 
@@ -68,6 +74,9 @@
     /** How many times slower the target is than its learned speed; 1 unless runs show it. */
     private double mSlowdown = 1;
 
+    /** Until when the slowdown counts, in milliseconds since the epoch. */
+    private long mSlowdownUntil;
+
     private boolean mServing;
 
     /** The sidecar's clock in its latest report, which start orders quote. */
@@ -209,7 +218,8 @@
      * Updates how much slower the target is than its learned speed, as its current runs show it: by
      * how many times the second slowest of them has exceeded its expected time, if that is beyond
      * what wrong declared times explain. A target that turns slow shows this long before the first
-     * of its runs ends.
+     * of its runs ends. It counts as slow for a while after its last run has shown so, and is then
+     * tried again.
      */
     private void updateSlowdown(long now) {
         double slowest = 0;
@@ -223,7 +233,12 @@
                 secondSlowest = Math.max(secondSlowest, ratio);
             }
         }
-        mSlowdown = secondSlowest > MIN_SLOWDOWN ? secondSlowest : 1;
+        if (secondSlowest > MIN_SLOWDOWN) {
+            mSlowdown = secondSlowest;
+            mSlowdownUntil = now + SLOWDOWN_MILLIS;
+        } else if (now >= mSlowdownUntil) {
+            mSlowdown = 1;
+        }
     }
 
     void onTick(long now) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
@@ -68,6 +68,7 @@
         if (mRankedVersion != mState.mMembersVersion) {
             mRankedVersion = mState.mMembersVersion;
             mRanked = rank();
+            mState.mPreferredSidecars = preferred();
         }
         mRanked.forEach(this::watchFirst);
         mState.mWaitingTask.ifPresent(this::watchForTask);
@@ -85,8 +86,15 @@
         return ranked;
     }
 
+    private List<SidecarView> preferred() {
+        return mRanked.stream()
+                .flatMap(ranked -> ranked.stream().limit(watchedCount(ranked.size())))
+                .toList();
+    }
+
     private void watchFirst(List<SidecarView> ranked) {
-        int count = mWatching ? watchedCount(ranked.size()) : 0;
+        int factor = mState.mNow < mShortageUntil ? SHORTAGE_FACTOR : 1;
+        int count = mWatching ? factor * watchedCount(ranked.size()) : 0;
         for (int rank = 0; rank < ranked.size(); rank++) {
             watch(ranked.get(rank), rank < count);
         }
@@ -95,7 +103,7 @@
     private int watchedCount(int sidecars) {
         int entries = 1 + mState.mPeerNames.size();
         int count = Math.max(MIN_WATCHED, Math.ceilDiv(SHARES_WATCHED * sidecars, entries));
-        return mState.mNow < mShortageUntil ? SHORTAGE_FACTOR * count : count;
+        return count;
     }
 
     /** Watches all sidecars that could run a task if no watched one could. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
@@ -11,7 +11,8 @@
  * Bias and speed are fitted online by gradient steps on the residual, which is clamped to a factor
  * of about 20 either way. The learning rate of a speed falls with the number of observations down
  * to a minimum, so that the estimate keeps following slow changes, and rises again while run times
- * show that the speed has changed at once. Not thread-safe.
+ * show that the speed has changed at once. Outliers tell nothing about the bias of their kind. Not
+ * thread-safe.
  */
 public final class SpeedModel {
     private static final double INITIAL_LEARNING_RATE = 0.5;
@@ -43,7 +44,9 @@
         targetSpeed.recordResidual(residual);
         double speed = targetSpeed.mSpeed * Math.exp(-learningRate(targetSpeed) * residual);
         targetSpeed.mSpeed = Math.clamp(speed, MIN_SPEED, MAX_SPEED);
-        mLogBiasByKind.put(kind, logBias + BIAS_LEARNING_RATE * residual);
+        if (!TargetSpeed.outlier(residual)) {
+            mLogBiasByKind.put(kind, logBias + BIAS_LEARNING_RATE * residual);
+        }
     }
 
     private static double learningRate(TargetSpeed targetSpeed) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/target/TargetSpeed.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/target/TargetSpeed.java
@@ -20,10 +20,15 @@
     /** The additional uncertainty before the first observation; falls as 1/sqrt(n + 1). */
     private static final double INITIAL_UNCERTAINTY = 0.5;
 
+    /** Returns whether a run time is too far from the expected one to come from its task alone. */
+    static boolean outlier(double residual) {
+        return Math.abs(residual) >= OUTLIER_LOG_RESIDUAL;
+    }
+
     /** Records the logarithm of a run time divided by the expected one. */
     void recordResidual(double residual) {
         int side = (int) Math.signum(residual);
-        if (Math.abs(residual) < OUTLIER_LOG_RESIDUAL) {
+        if (!outlier(residual)) {
             mOutliers = 0;
         } else if (mOutliers * side > 0) {
             mOutliers += side;
