--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
@@ -308,10 +308,7 @@
                         new PoolMessage.Start(mLastStartNumber, mNow, List.of(task(run, cores)))));
     }
 
-    /** Answers the poll that is in flight or, after the pause between polls, due. */
     private void answerPoll(List<RunSnapshot.Running> running, List<RunSnapshot.Ended> ended) {
-        mNow += RunTable.POLL_PAUSE_MILLIS;
-        handle(new PoolSidecarEvent.Tick());
         RunSnapshot snapshot = new RunSnapshot(mTarget.startedAt(), 0, running, ended);
         handle(new PoolSidecarEvent.PollAnswered(mTarget, mLastPollNumber, Optional.of(snapshot)));
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -31,13 +31,6 @@
     private static final long POLL_WAIT_MILLIS = 80;
 
     private static final long POLL_RETRY_MILLIS = 50;
-
-    /** With less than this share of its cores used, a target has room for tasks that wait. */
-    private static final double AMPLE_USED_SHARE = 0.75;
-
-    /** Pause between polls of such a target, so that the ends of several runs share one answer. */
-    static final long POLL_PAUSE_MILLIS = 10;
-
     private static final long STOP_RETRY_MILLIS = 100;
     private static final int MAX_REMEMBERED_ENDS = 2_000;
 
@@ -308,7 +301,7 @@
         List<Run> unknown = running.stream().filter(run -> !mHeldRuns.containsKey(run)).toList();
         unknown.forEach(this::stopUnknownRun);
         mReconciled = mReconciled || unknown.isEmpty();
-        mPollDueAt = mNow + pollDelay(target);
+        mPollDueAt = mReconciled ? mNow : mNow + POLL_RETRY_MILLIS;
         List<HeldRun> missing =
                 mHeldRuns.values().stream()
                         .filter(held -> held.mConclusivePoll <= number)
@@ -320,15 +313,6 @@
         });
     }
 
-    /** Returns the delay of the next poll: none while the target is so full that tasks may wait. */
-    private long pollDelay(TargetIncarnation target) {
-        if (!mReconciled) {
-            return POLL_RETRY_MILLIS;
-        }
-        boolean ample = used().cores() < AMPLE_USED_SHARE * target.capacity().cores();
-        return ample && !mHeldRuns.isEmpty() ? POLL_PAUSE_MILLIS : 0;
-    }
-
     private void onEnded(RunSnapshot.Ended ended) {
         if (ended.number() <= mAckCursor) {
             return;
