--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/EntryView.java
@@ -0,0 +1,139 @@
+package org.jackdawsaddle.internal.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.message.PoolMessage;
+import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+
+/**
+ * A sidecar's connection to one entry, and what it has reported there. All times are in
+ * milliseconds since the epoch.
+ */
+final class EntryView {
+    private boolean mConnected;
+    private long mLastHeardAt;
+    private long mLostAt;
+
+    /** Whether the entry has asked to learn changes of the free capacity at once. */
+    private boolean mWatching;
+
+    /** The number of the last start order received on this connection. */
+    private long mLastHandledStartNumber;
+
+    /** When the free capacity was last sent; 0 to send it with the next updates. */
+    private long mRoomSentAt;
+
+    /** The free capacity that was last sent. */
+    private Demand mReportedFree = Demand.NONE;
+
+    private boolean mReportedServing;
+    private List<String> mReportedOrphans = List.of();
+
+    /** The reports to send on this connection or, if it is closed, on the next one. */
+    private final List<TaskReport> mPendingReports = new ArrayList<>();
+
+    boolean connected() {
+        return mConnected;
+    }
+
+    boolean watching() {
+        return mWatching;
+    }
+
+    void onConnected(long now) {
+        mConnected = true;
+        mWatching = false;
+        mLastHeardAt = now;
+        mLastHandledStartNumber = 0;
+        mRoomSentAt = 0;
+    }
+
+    void onLost(long now) {
+        mConnected = false;
+        mLostAt = now;
+    }
+
+    void onHeard(long now) {
+        mLastHeardAt = now;
+    }
+
+    void onPing(PoolMessage.Ping ping) {
+        if (ping.watching() && !mWatching) {
+            mRoomSentAt = 0;
+        }
+        mWatching = ping.watching();
+    }
+
+    void onStart(PoolMessage.Start start) {
+        mLastHandledStartNumber = start.number();
+    }
+
+    /** Makes the next updates contain the free capacity. */
+    void requestRoom() {
+        mRoomSentAt = 0;
+    }
+
+    void addReport(TaskReport report) {
+        mPendingReports.add(report);
+    }
+
+    /**
+     * Returns whether the entry has been silent for so long that its connection must close.
+     *
+     * @param ownsRuns whether the sidecar holds runs of the entry
+     */
+    boolean connectionTimedOut(boolean ownsRuns, long now) {
+        long timeout =
+                mWatching || ownsRuns
+                        ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
+                        : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS;
+        return mConnected && now - mLastHeardAt > timeout;
+    }
+
+    /** Returns whether the entry was lost so long ago that its runs must end. */
+    boolean reconnectTimedOut(long now) {
+        return !mConnected && now - mLostAt >= PoolTiming.RECONNECT_TIMEOUT_MILLIS;
+    }
+
+    /**
+     * Returns the messages to send now: the reports on the entry's runs, and the free capacity if
+     * that is due. Reports always carry the free capacity with them.
+     *
+     * @param room the state to report, without the number of the entry's start order
+     * @param ownsRuns whether the sidecar holds runs of the entry
+     */
+    List<PoolMessage> pollUpdates(PoolMessage.Room room, boolean ownsRuns, long now) {
+        if (!mConnected || !roomDue(room, ownsRuns, now)) {
+            return List.of();
+        }
+        List<PoolMessage> updates = new ArrayList<>();
+        if (!mPendingReports.isEmpty()) {
+            updates.add(new PoolMessage.TaskReports(List.copyOf(mPendingReports)));
+            mPendingReports.clear();
+        }
+        updates.add(room.withHandledStarts(mLastHandledStartNumber));
+        mRoomSentAt = now;
+        mReportedFree = room.free();
+        mReportedServing = room.serving();
+        mReportedOrphans = room.orphanedJobs();
+        return updates;
+    }
+
+    private boolean roomDue(PoolMessage.Room room, boolean ownsRuns, long now) {
+        return !mPendingReports.isEmpty()
+                || room.serving() != mReportedServing
+                || !room.orphanedJobs().equals(mReportedOrphans)
+                || now - mRoomSentAt >= roomInterval(room.free(), ownsRuns);
+    }
+
+    /** Returns how long after the last report of the free capacity the next one is due. */
+    private long roomInterval(Demand free, boolean ownsRuns) {
+        if (mWatching && !free.equals(mReportedFree)) {
+            return PoolTiming.ROOM_INTERVAL_MILLIS;
+        }
+        return mWatching || ownsRuns
+                ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
+                : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
@@ -29,36 +29,6 @@
     /** Delay before another attempt to save the target's incarnation. */
     private static final long SAVE_RETRY_MILLIS = 2_000;
 
-    /** The connection to one entry, and the reports to send on it or on the next one. */
-    private static final class EntryView {
-        boolean mConnected;
-
-        /** In milliseconds since the epoch, like all times in this class. */
-        long mLastHeardAt;
-
-        long mLostAt;
-
-        /**
-         * The number of the last start order received on this connection; the free capacity that is
-         * sent takes it into account.
-         */
-        long mLastHandledStartNumber;
-
-        /** When the free capacity was last sent; 0 to send it with the next actions. */
-        long mRoomSentAt;
-
-        /** The free capacity that was last sent. */
-        Demand mReportedFree = Demand.NONE;
-
-        boolean mReportedServing;
-        List<String> mReportedOrphans = List.of();
-
-        /** Whether the entry has asked to learn changes of the free capacity at once. */
-        boolean mWatching;
-
-        final List<TaskReport> mPendingReports = new ArrayList<>();
-    }
-
     private final NodeId mSelf;
     private final String mDataCentre;
     private final RunTable mRuns;
@@ -129,8 +99,11 @@
             Set<NodeId> owners = mRuns.owners();
             PoolMessage.Room room =
                     new PoolMessage.Room(free(), serving(), mNow, 0, mRuns.jobsOf(this::orphaned));
-            mEntries.forEach(
-                    (entry, view) -> sendUpdates(entry, view, room, owners.contains(entry)));
+            mEntries.forEach((entry, view) ->
+                    view.pollUpdates(room, owners.contains(entry), mNow)
+                            .forEach(update ->
+                                    mActions.add(
+                                            new PoolSidecarAction.SendToEntry(entry, update))));
         }
         List<PoolSidecarAction> actions = List.copyOf(mActions);
         mActions.clear();
@@ -237,24 +210,19 @@
 
     private void onConnected(NodeId entry) {
         EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
-        view.mConnected = true;
-        view.mWatching = false;
-        view.mLastHeardAt = mNow;
-        view.mLastHandledStartNumber = 0;
-        view.mRoomSentAt = 0;
+        view.onConnected(mNow);
         mTarget.ifPresent(target -> sendHello(entry, view, target));
     }
 
     private void onLost(NodeId entry) {
         EntryView view = mEntries.get(entry);
-        if (view != null && view.mConnected) {
-            view.mConnected = false;
-            view.mLostAt = mNow;
+        if (view != null && view.connected()) {
+            view.onLost(mNow);
         }
     }
 
     private void sendHello(NodeId entry, EntryView view, TargetIncarnation target) {
-        if (view.mConnected) {
+        if (view.connected()) {
             mActions.add(
                     new PoolSidecarAction.SendToEntry(
                             entry,
@@ -266,7 +234,7 @@
                                     target.capacity(),
                                     target.labels(),
                                     configurationVersion())));
-            view.mRoomSentAt = 0;
+            view.requestRoom();
         }
     }
 
@@ -276,10 +244,10 @@
 
     private void onEntrySent(NodeId entry, PoolMessage message) {
         EntryView view = mEntries.get(entry);
-        if (view == null || !view.mConnected) {
+        if (view == null || !view.connected()) {
             return;
         }
-        view.mLastHeardAt = mNow;
+        view.onHeard(mNow);
         switch (message) {
             case PoolMessage.Start start -> onStart(entry, view, start);
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
@@ -294,10 +262,7 @@
     }
 
     private void onPing(NodeId entry, EntryView view, PoolMessage.Ping ping) {
-        if (ping.watching() && !view.mWatching) {
-            view.mRoomSentAt = 0;
-        }
-        view.mWatching = ping.watching();
+        view.onPing(ping);
         if (mConfigurationPush.isPresent()
                 && ping.configurationVersion() < configurationVersion()) {
             mActions.add(new PoolSidecarAction.SendToEntry(entry, mConfigurationPush.get()));
@@ -311,7 +276,7 @@
     }
 
     private void onStart(NodeId entry, EntryView view, PoolMessage.Start start) {
-        view.mLastHandledStartNumber = start.number();
+        view.onStart(start);
         boolean current = start.clock() >= mNow - PoolTiming.MAX_ORDER_AGE_MILLIS;
         for (PoolMessage.StartTask task : start.tasks()) {
             Optional<ReportKind> refusal = refusal(task, current);
@@ -337,11 +302,7 @@
     private void onTick() {
         Set<NodeId> owners = mRuns.owners();
         mEntries.forEach((entry, view) -> {
-            long timeout =
-                    view.mWatching || owners.contains(entry)
-                            ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
-                            : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS;
-            if (view.mConnected && mNow - view.mLastHeardAt > timeout) {
+            if (view.connectionTimedOut(owners.contains(entry), mNow)) {
                 mActions.add(new PoolSidecarAction.DisconnectEntry(entry));
                 onLost(entry);
             }
@@ -349,9 +310,8 @@
         mRuns.stopRunsOf(this::orphaned);
         mEntries.entrySet()
                 .removeIf(entry ->
-                        !entry.getValue().mConnected
-                                && reconnectTimedOut(entry.getValue())
-                                && !mRuns.holdsRunOf(entry.getKey()));
+                        entry.getValue().reconnectTimedOut(mNow)
+                                && !owners.contains(entry.getKey()));
         mRuns.onTick();
         saveIfDue();
     }
@@ -361,59 +321,12 @@
      */
     private boolean orphaned(NodeId owner) {
         EntryView view = mEntries.get(owner);
-        return view == null || !view.mConnected && reconnectTimedOut(view);
-    }
-
-    private boolean reconnectTimedOut(EntryView view) {
-        return mNow - view.mLostAt >= PoolTiming.RECONNECT_TIMEOUT_MILLIS;
+        return view == null || view.reconnectTimedOut(mNow);
     }
 
     /** Returns whether anything is left to learn from the target, or entries watch the sidecar. */
     public boolean active() {
-        return mRuns.pollNeeded() || mEntries.values().stream().anyMatch(view -> view.mWatching);
-    }
-
-    /**
-     * Sends an entry the reports on its runs, and the free capacity if that is due. A report that
-     * is sent anyway carries the free capacity with it.
-     *
-     * @param room the state to report, without the number of the entry's start order
-     * @param ownsRuns whether the sidecar holds runs of the entry
-     */
-    private void sendUpdates(
-            NodeId entry, EntryView view, PoolMessage.Room room, boolean ownsRuns) {
-        if (!view.mConnected) {
-            return;
-        }
-        boolean roomDue =
-                !view.mPendingReports.isEmpty()
-                        || room.serving() != view.mReportedServing
-                        || !room.orphanedJobs().equals(view.mReportedOrphans)
-                        || mNow - view.mRoomSentAt >= roomInterval(view, room.free(), ownsRuns);
-        if (!view.mPendingReports.isEmpty()) {
-            PoolMessage reports = new PoolMessage.TaskReports(List.copyOf(view.mPendingReports));
-            mActions.add(new PoolSidecarAction.SendToEntry(entry, reports));
-            view.mPendingReports.clear();
-        }
-        if (roomDue) {
-            mActions.add(
-                    new PoolSidecarAction.SendToEntry(
-                            entry, room.withHandledStarts(view.mLastHandledStartNumber)));
-            view.mRoomSentAt = mNow;
-            view.mReportedFree = room.free();
-            view.mReportedServing = room.serving();
-            view.mReportedOrphans = room.orphanedJobs();
-        }
-    }
-
-    /** Returns how long after the last report of the free capacity the next one is due. */
-    private static long roomInterval(EntryView view, Demand free, boolean ownsRuns) {
-        if (view.mWatching && !free.equals(view.mReportedFree)) {
-            return PoolTiming.ROOM_INTERVAL_MILLIS;
-        }
-        return view.mWatching || ownsRuns
-                ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
-                : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
+        return mRuns.pollNeeded() || mEntries.values().stream().anyMatch(EntryView::watching);
     }
 
     /**
@@ -422,7 +335,7 @@
     private void report(NodeId owner, Run run, ReportKind kind) {
         EntryView view = mEntries.get(owner);
         if (view != null) {
-            view.mPendingReports.add(new TaskReport(run, kind));
+            view.addReport(new TaskReport(run, kind));
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
@@ -32,7 +32,6 @@
 
     private static final long POLL_RETRY_MILLIS = 50;
     private static final long STOP_RETRY_MILLIS = 100;
-    private static final int MAX_REMEMBERED_ENDS = 2_000;
 
     /** Reports the state of a run to the entry that owns it. */
     interface Reporter {
@@ -45,20 +44,8 @@
     private final long mFencingToken;
     private final TargetLiveness mLiveness;
     private final Map<Run, HeldRun> mHeldRuns = new LinkedHashMap<>();
-    private final Map<Run, ReportKind> mRecentEnds =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
+    private final RecentEnds mRecentEnds = new RecentEnds();
 
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Run, ReportKind> eldest) {
-                    return size() > MAX_REMEMBERED_ENDS;
-                }
-            };
-
-    /** The total demand of the held runs, unless it is outdated. */
-    private Demand mUsed = Demand.NONE;
-
-    private boolean mUsedOutdated;
     private Optional<TargetIncarnation> mTarget = Optional.empty();
     private boolean mReconciled;
     private long mPollNumber;
@@ -103,24 +90,15 @@
 
     /** Returns the demand of all runs that are not known to have ended. */
     Demand used() {
-        if (mUsedOutdated) {
-            mUsed = Demand.NONE;
-            for (HeldRun held : mHeldRuns.values()) {
-                mUsed = mUsed.plus(held.mStartTask.demand());
-            }
-            mUsedOutdated = false;
-        }
-        return mUsed;
+        return mHeldRuns.values().stream()
+                .map(held -> held.mStartTask.demand())
+                .reduce(Demand.NONE, Demand::plus);
     }
 
     boolean holdsTask(String task) {
         return mHeldRuns.keySet().stream().anyMatch(run -> run.task().equals(task));
     }
 
-    boolean holdsRunOf(NodeId owner) {
-        return mHeldRuns.values().stream().anyMatch(held -> held.mOwner.equals(owner));
-    }
-
     /** Returns the entries that own the held runs. */
     Set<NodeId> owners() {
         return mHeldRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
@@ -138,7 +116,7 @@
     ReportKind statusOf(Run run) {
         return mHeldRuns.containsKey(run)
                 ? ReportKind.HELD
-                : mRecentEnds.getOrDefault(run, ReportKind.NOT_SERVING);
+                : mRecentEnds.find(run).orElse(ReportKind.NOT_SERVING);
     }
 
     void onTarget(TargetIncarnation target, boolean sameIncarnation) {
@@ -178,7 +156,6 @@
             mLiveness.recordHeard();
         }
         mHeldRuns.put(task.run(), new HeldRun(owner, task));
-        mUsedOutdated = true;
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
@@ -413,8 +390,7 @@
     private void end(HeldRun held, ReportKind kind) {
         Run run = held.mStartTask.run();
         mHeldRuns.remove(run);
-        mUsedOutdated = true;
-        mRecentEnds.put(run, kind);
+        mRecentEnds.add(run, kind);
         mReporter.report(held.mOwner, run, kind);
     }
 }
