Give the sidecar and the connections of a pool packages of their own; notice lost peers in 2 s again

The sidecar's classes (9) and the sockets (2) move to packages of their own, each with its way in told in package-info.java; refusals are no longer called hopeless; the hash of names and ids, written twice with a bare number, is MixedHash; takeUpdates says that it takes what it returns.

Cause of the change of behaviour: heartbeats between entries had become as rare as those of idle sidecars, 2.5 s with a time-out of 6 s, which the test of an unresponsive peer followed. They come each 500 ms again, with a time-out of 2 s, like those of partitions: 15 x 14 connections make 840 messages a second.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -277,7 +277,7 @@
     public void reconnectsToAPeerThatSendsButDoesNotAnswer() {
         NodeId peer = new NodeId("peer", 1);
         mCore.handle(new PoolEntryEvent.PeerConnected(peer), mNow);
-        for (long passed = 0; passed <= PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS; passed += 20) {
+        for (long passed = 0; passed <= PoolTiming.PEER_TIMEOUT_MILLIS; passed += 20) {
             mNow += 20;
             mCore.handle(new PoolEntryEvent.PeerSent(peer, new PoolMessage.Ping(1, false)), mNow);
             tick();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTest.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -13,6 +13,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -92,9 +92,9 @@
     }
 
     /**
-     * Places tasks if a dispatch was requested since the last call, then refuses the jobs that are
-     * hopeless. Called once for all events that are read together, as its cost grows with the
-     * number of waiting jobs and of sidecars.
+     * Places tasks if a dispatch was requested since the last call, then refuses the jobs that
+     * cannot be served in time. Called once for all events that are read together, as its cost
+     * grows with the number of waiting jobs and of sidecars.
      */
     void dispatchIfDue() {
         if (!mDispatchDue) {
@@ -104,7 +104,7 @@
         List<WaitingJob> waiting = mDispatcher.dispatch();
         if (mForecastDue) {
             mForecastDue = false;
-            refuseHopeless(waiting);
+            refuseUnservable(waiting);
         }
     }
 
@@ -112,19 +112,19 @@
      * Refuses the jobs that cannot be served while their answer is of use. Leaves out those that
      * fit no target, which fail unless a larger target is discovered soon.
      */
-    private void refuseHopeless(List<WaitingJob> waiting) {
+    private void refuseUnservable(List<WaitingJob> waiting) {
         if (!mState.mTimeline.discovering()) {
             List<WaitingJob> placeable =
                     waiting.stream().filter(job -> mAdmission.everyTaskFits(job.job())).toList();
             mForecast
-                    .hopeless(placeable, mAdmission.coreShare(), mState.mNow)
-                    .forEach(hopeless -> end(hopeless.job(), refusal(hopeless)));
+                    .refusals(placeable, mAdmission.coreShare(), mState.mNow)
+                    .forEach(refusal -> end(refusal.job(), answer(refusal)));
         }
     }
 
-    private static PoolAnswer refusal(QueueForecast.Hopeless hopeless) {
+    private static PoolAnswer answer(QueueForecast.Refusal refusal) {
         return new PoolAnswer.Refused(
-                "overloaded", RetryDelay.millis(hopeless.job().mJob.id(), hopeless.waitMillis()));
+                "overloaded", RetryDelay.millis(refusal.job().mJob.id(), refusal.waitMillis()));
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -17,7 +17,7 @@
  * read the store.
  *
  * <p>Two entries have two connections, one opened by each. An entry sends its messages on the one
- * that it has opened; on the other, {@link PoolAcceptor} answers with pings.
+ * that it has opened; on the other, {@code PoolAcceptor} answers with pings.
  */
 final class PeerController {
     /** The connection that this entry has opened to one other entry. */
@@ -131,12 +131,12 @@
 
     void onTick() {
         mPeers.forEach((peer, view) -> {
-            if (mState.mNow - view.mLastHeardAt > PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS) {
+            if (mState.mNow - view.mLastHeardAt > PoolTiming.PEER_TIMEOUT_MILLIS) {
                 // Restarts the timeout, so that not every tick requests a disconnection.
                 view.mLastHeardAt = mState.mNow;
                 mState.mActions.add(new PoolEntryAction.DisconnectPeer(peer));
             }
-            if (mState.mNow - view.mLastSentAt >= PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS) {
+            if (mState.mNow - view.mLastSentAt >= PoolTiming.PEER_HEARTBEAT_INTERVAL_MILLIS) {
                 ping(peer);
             }
         });
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -32,7 +32,7 @@
     record PeerLost(NodeId peer) implements PoolEntryEvent {}
 
     /**
-     * Another entry has answered on the connection that this entry opened: with a ping, as {@link
+     * Another entry has answered on the connection that this entry opened: with a ping, as {@code
      * PoolAcceptor} answers each message but the first.
      */
     record PeerAnswered(NodeId peer, PoolMessage message) implements PoolEntryEvent {}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -17,7 +17,13 @@
     /** An active connection without messages for this long is closed and opened again. */
     public static final long CONNECTION_TIMEOUT_MILLIS = 600;
 
-    /** The interval of heartbeats on other connections, and of those between entries. */
+    /** The interval of heartbeats between entries. */
+    public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 500;
+
+    /** A connection between entries without messages for this long is closed and opened again. */
+    public static final long PEER_TIMEOUT_MILLIS = 2_000;
+
+    /** The interval of heartbeats on connections to sidecars that are not active. */
     public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 2_500;
 
     /** The same as {@link #CONNECTION_TIMEOUT_MILLIS} for other connections. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/QueueForecast.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/QueueForecast.java
@@ -28,12 +28,12 @@
     private record JobClass(boolean late, int priority) {}
 
     /**
-     * A job that cannot be served in time to be of use.
+     * A job that should be refused, as it cannot be served in time to be of use.
      *
      * @param job the job
      * @param waitMillis how long it would have to wait for capacity, in milliseconds
      */
-    record Hopeless(ActiveJob job, long waitMillis) {}
+    record Refusal(ActiveJob job, long waitMillis) {}
 
     private final Placement mPlacement;
 
@@ -48,7 +48,7 @@
 
     private final Map<JobClass, ClassHistory> mHistories = new HashMap<>();
 
-    /** When {@link #hopeless} was last called, in milliseconds since the epoch. */
+    /** When {@link #refusals} was last called, in milliseconds since the epoch. */
     private long mLastForecastAt;
 
     QueueForecast(Placement placement) {
@@ -61,19 +61,20 @@
     }
 
     /**
-     * Returns the jobs that have not started and will not be served while their answer is of use.
+     * Returns the jobs to refuse: those that have not started and will not be served while their
+     * answer is of use.
      *
      * @param waiting the waiting jobs in the order of dispatch
      * @param coreShare the entry's share of the cores of the serving targets; 0 without any, which
      *     tells nothing about how long jobs will wait
      */
-    List<Hopeless> hopeless(List<WaitingJob> waiting, double coreShare, long now) {
+    List<Refusal> refusals(List<WaitingJob> waiting, double coreShare, long now) {
         recordBacklog(waiting, now);
         if (coreShare <= 0) {
             return List.of();
         }
         Map<JobClass, Double> workAhead = new HashMap<>();
-        List<Hopeless> hopeless = new ArrayList<>();
+        List<Refusal> refusals = new ArrayList<>();
         for (WaitingJob job : waiting) {
             JobClass jobClass = classOf(job);
             long waitMillis = waitMillis(jobClass, workAhead, coreShare, now);
@@ -82,12 +83,12 @@
                 waitMillis = Math.max(waitMillis, waitMillis(lateClass, workAhead, coreShare, now));
             }
             if (!job.started() && !mPlacement.useful(job.job(), now + waitMillis)) {
-                hopeless.add(new Hopeless(job.job(), waitMillis));
+                refusals.add(new Refusal(job.job(), waitMillis));
             } else {
                 workAhead.merge(jobClass, mPlacement.waitingWork(job.job()), Double::sum);
             }
         }
-        return hopeless;
+        return refusals;
     }
 
     /** Adds the time since the last forecast to the backlog of each class with waiting jobs. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RetryDelay.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RetryDelay.java
@@ -21,6 +21,6 @@
      */
     static long millis(String job, long waitMillis) {
         long base = Math.clamp(waitMillis, MIN_MILLIS, MAX_MILLIS);
-        return base + Math.floorMod(job.hashCode() * 0x9E3779B1, base);
+        return base + Math.floorMod(MixedHash.of(job), base);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarRanking.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarRanking.java
@@ -64,9 +64,7 @@
                 .toList();
     }
 
-    /** Returns a hash of a name on a ring that all entries compute alike. */
     private static int ringHash(String name, int ring) {
-        int hash = (name + '/' + ring).hashCode() * 0x9E3779B1;
-        return hash ^ hash >>> 15;
+        return MixedHash.of(name + '/' + ring);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -128,18 +128,18 @@
 
     /** Sets whether the sidecar is watched; this must be followed by a ping that tells it so. */
     void watch(boolean watched, long now) {
-        beforeActive(now);
+        countSilenceFromNowIfIdle(now);
         mWatched = watched;
     }
 
     /** Records that a run was placed; its start order must follow. */
     void addRun(PlacedRun placed, long now) {
-        beforeActive(now);
+        countSilenceFromNowIfIdle(now);
         mPlacedRuns.put(placed.mRun, placed);
         reserve(placed.mTask.mStep.demand());
     }
 
-    private void beforeActive(long now) {
+    private void countSilenceFromNowIfIdle(long now) {
         if (!active()) {
             mSilentSince = Math.max(mSilentSince, now);
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAcceptor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.connection;
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -1,10 +1,11 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+import org.jackdawsaddle.internal.pool.PoolTiming;
 
 /**
  * A sidecar's connection to one entry, and what it has reported there. All times are in
@@ -97,13 +98,13 @@
     }
 
     /**
-     * Returns the messages to send now: the reports on the entry's runs, and the free capacity if
-     * that is due. Reports always carry the free capacity with them.
+     * Returns the messages to send now, which count as sent: the reports on the entry's runs, and
+     * the free capacity if that is due. Reports always carry the free capacity with them.
      *
      * @param room the state to report, without the number of the entry's start order
      * @param ownsRuns whether the sidecar holds runs of the entry
      */
-    List<PoolMessage> pollUpdates(PoolMessage.Room room, boolean ownsRuns, long now) {
+    List<PoolMessage> takeUpdates(PoolMessage.Room room, boolean ownsRuns, long now) {
         if (!mConnected || !roomDue(room, ownsRuns, now)) {
             return List.of();
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -1,7 +1,8 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
+import org.jackdawsaddle.internal.pool.TaskNames;
 
 /** A run that a sidecar has ordered its target to start and that is not known to have ended. */
 final class HeldRun {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,6 +12,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
 /**
@@ -100,7 +101,7 @@
             PoolMessage.Room room =
                     new PoolMessage.Room(free(), serving(), mNow, 0, mRuns.jobsOf(this::orphaned));
             mEntries.forEach((entry, view) ->
-                    view.pollUpdates(room, owners.contains(entry), mNow)
+                    view.takeUpdates(room, owners.contains(entry), mNow)
                             .forEach(update ->
                                     mActions.add(
                                             new PoolSidecarAction.SendToEntry(entry, update))));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolSidecarEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarEvent.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.Optional;
 import org.jackdawsaddle.NodeId;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -1,4 +1,4 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -17,6 +17,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
+import org.jackdawsaddle.internal.pool.TaskNames;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TargetLiveness.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
@@ -1,7 +1,8 @@
-package org.jackdawsaddle.internal.pool;
+package org.jackdawsaddle.internal.pool.sidecar;
 
 import org.jackdawsaddle.internal.log.Event;
 import org.jackdawsaddle.internal.log.EventLog;
+import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
 /**
