Wait for the target's announcement before a restarted sidecar serves

Cause: a sidecar that starts again loads its target's last incarnation from the store and served with the stored capacity until the first announcement, up to one heartbeat later. If the capacity had shrunk while the sidecar was down, or the save of the shrunk capacity was still being tried again, it started more than the target has.

Evidence: CapacityChangeTest failed before: startsNothingOnAStoredCapacityBeforeTheTargetAnnouncesIt: it may have shrunk since it was stored expected [false] but found [true] The other tests of the class passed on the old code: they show that runs above a shrunk capacity go on and nothing starts until enough has ended, that what is being stopped counts, that each resource counts by itself, that a late older announcement is ignored and that growth is reported at once.

Change: the loaded incarnation is polled, and what it runs is stopped, but the sidecar serves only once the target has announced itself. As the stored capacity no longer decides anything, a change of capacity is not saved (doesNotStoreATargetAgainWhenItsCapacityChanges failed before: "lists don't have the same size expected [0] but found [1]").

Cost: after a restart of a sidecar its target gets no tasks for up to one heartbeat of the target.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -38,7 +38,7 @@
     private final Map<NodeId, EntryView> mEntries = new LinkedHashMap<>();
     private Optional<TargetIncarnation> mTarget = Optional.empty();
 
-    /** When the latest announcement times out; 0 if the target has withdrawn it. */
+    /** When the latest announcement times out; 0 if there is none or the target withdrew it. */
     private long mAnnouncementExpiresAt;
 
     /** The newest configuration received; passed on to entries that have an older one. */
@@ -140,13 +140,16 @@
     }
 
     private void onAnnounced(TargetIncarnation target) {
-        if (mTarget.filter(known -> stale(target, known)).isPresent()) {
-            return;
+        if (mTarget.filter(known -> stale(target, known)).isEmpty()) {
+            mAnnouncementExpiresAt = mNow + ANNOUNCEMENT_TIMEOUT_MILLIS;
+            updateTarget(target);
         }
+    }
+
+    private void updateTarget(TargetIncarnation target) {
         boolean sameIncarnation = mTarget.filter(target::sameIncarnation).isPresent();
         boolean changed = !sameIncarnation || !mTarget.get().capacity().equals(target.capacity());
         mTarget = Optional.of(target);
-        mAnnouncementExpiresAt = mNow + ANNOUNCEMENT_TIMEOUT_MILLIS;
         mRuns.onTarget(target, sameIncarnation);
         if (changed) {
             mEntries.forEach((entry, view) -> sendHello(entry, view, target));
@@ -155,13 +158,13 @@
 
     /**
      * Handles an incarnation of the target that was loaded from the store, unless one is known. It
-     * may have ended since, so the sidecar serves only once the target has answered a poll as that
-     * incarnation.
+     * may have ended since, or have less capacity now, so the sidecar only polls it, and serves
+     * once the target has announced itself.
      */
     private void onTargetLoaded(TargetIncarnation target) {
         if (mTarget.isEmpty() && target.startedAt() > 0) {
             mSavedTarget = Optional.of(target);
-            onAnnounced(target);
+            updateTarget(target);
         }
     }
 
@@ -173,21 +176,13 @@
         }
     }
 
-    /**
-     * Saves the target's incarnation unless it is saved already. Only its identity and its capacity
-     * are compared.
-     */
+    /** Saves the target's incarnation unless it is saved already. */
     private void saveIfDue() {
         if (mTarget.isEmpty() || mNow < mSaveDueAt) {
             return;
         }
         TargetIncarnation target = mTarget.get();
-        boolean alreadySaved =
-                mSavedTarget
-                        .filter(target::sameIncarnation)
-                        .filter(saved -> saved.capacity().equals(target.capacity()))
-                        .isPresent();
-        if (!alreadySaved) {
+        if (mSavedTarget.filter(target::sameIncarnation).isEmpty()) {
             mSaveDueAt = mNow + SAVE_RETRY_MILLIS;
             mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset()));
         }
