Give a target no tasks on an announcement older than 4 s

A capacity that has shrunk counts contactMs and one heartbeat later, 4.5 s on the smaller deployments. A sidecar that heard nothing of its target went on with the last capacity for 5 s, so that it could start more than the target has in the last half second.

Evidence: CapacityChangeTest.startsNothingOnACapacityThatMayHaveShrunkUnheard failed before: "expected [false] but found [true]". Announcements come each 1.5 s, so 4 s still bear two that are lost.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
@@ -25,6 +25,9 @@
     private static final Run RUN = new Run("00000000000000aa.0.0.0", 1);
     private static final Run OTHER_RUN = new Run("00000000000000bb.0.0.0", 1);
 
+    /** A shrunk capacity counts this long after the announcement before it, in milliseconds. */
+    private static final long SHRINK_GRACE_MILLIS = 4_500;
+
     private PoolSidecarCore mCore;
     private long mNow;
     private long mLastSequence;
@@ -98,6 +101,15 @@
         assertFalse(starts(RUN, new Demand(9, 1, 0)));
     }
 
+    @Test
+    public void startsNothingOnACapacityThatMayHaveShrunkUnheard() {
+        mNow += SHRINK_GRACE_MILLIS - 1;
+        handle(new PoolSidecarEvent.Tick());
+        assertFalse(starts(RUN, new Demand(1, 1, 0)));
+        announce(HALF);
+        assertTrue(starts(RUN, HALF));
+    }
+
     @Test
     public void startsNothingOnAStoredCapacityBeforeTheTargetAnnouncesIt() {
         createSidecar();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -24,8 +24,11 @@
  * whose entry has been disconnected for too long are stopped.
  */
 public final class PoolSidecarCore {
-    /** Without an announcement for this long, the target gets no new tasks. */
-    private static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 5_000;
+    /**
+     * Without an announcement for this long, the target gets no new tasks: its capacity may have
+     * shrunk unheard.
+     */
+    private static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 4_000;
 
     /** Delay before another attempt to save the target's incarnation. */
     private static final long SAVE_RETRY_MILLIS = 2_000;
