Start nothing while a target runs what its sidecar doesn't hold

A run that starts after it counted as ended (its order was answered with an error, or its lease had lapsed, and the order was carried out late all the same) is stopped, but uses capacity that no demand is known for until it has ended. The sidecar went on to start others in that capacity.

Evidence: CapacityChangeTest.startsNothingBesideARunOfUnknownDemand failed before: "a late start uses capacity unseen expected [false] but found [true]".

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
@@ -121,6 +121,22 @@
         assertTrue(starts(RUN, HALF), "without waiting for another poll");
     }
 
+    @Test
+    public void startsNothingBesideARunOfUnknownDemand() {
+        start(RUN, new Demand(8, 1, 0));
+        answerStart(RUN, StartReply.UNREACHABLE);
+        announce(HALF);
+        start(OTHER_RUN, new Demand(1, 1, 0));
+        answerPoll(new RunSnapshot.Running(RUN.task(), RUN.run()));
+        assertEquals(actions(PoolSidecarAction.StopRun.class).size(), 1);
+        Run third = new Run("00000000000000cc.0.0.0", 1);
+        assertFalse(starts(third, new Demand(7, 1, 0)), "a late start uses capacity unseen");
+        mNow += 100;
+        handle(new PoolSidecarEvent.Tick());
+        answerPoll();
+        assertTrue(starts(third, new Demand(7, 1, 0)));
+    }
+
     @Test
     public void doesNotStoreATargetAgainWhenItsCapacityChanges() {
         handle(new PoolSidecarEvent.Tick());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -84,7 +84,10 @@
         return mLiveness.responsive();
     }
 
-    /** Returns whether a snapshot has shown that the target runs only what this sidecar ordered. */
+    /**
+     * Returns whether the latest snapshot has shown that the target runs only what is held here; it
+     * is unknown how much of its capacity other runs use.
+     */
     boolean reconciled() {
         return mReconciled;
     }
@@ -278,7 +281,7 @@
         running.stream().map(mHeldRuns::get).filter(Objects::nonNull).forEach(HeldRun::markListed);
         List<Run> unknown = running.stream().filter(run -> !mHeldRuns.containsKey(run)).toList();
         unknown.forEach(this::stopUnknownRun);
-        mReconciled = mReconciled || unknown.isEmpty();
+        mReconciled = unknown.isEmpty();
         mPollDueAt = mReconciled ? mNow : mNow + POLL_RETRY_MILLIS;
         List<HeldRun> missing =
                 mHeldRuns.values().stream()
