Refuse, don't fail, a job that fits no target while one has shrunk

Callers saw: a job whose task fits no target while a capacity is small was answered as failed, for good, 300 ms after its arrival, though the capacity comes back. Jobs that already waited were failed in the same way.

Cause: "a task is larger than every target" was judged by the capacity of the moment.

A job that is larger than all that any known target has had still fails. An entry that starts while a capacity is small has not seen the larger one and still fails such jobs: open.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.target.SpeedModel;
 import org.jackdawsaddle.pool.PoolStep;
 
@@ -114,9 +115,14 @@
 
     /** Returns whether an idle target would be able to run the tasks of a step. */
     static boolean couldRun(ActiveJob job, PoolStep step, SidecarView sidecar) {
+        return couldRun(job, step, sidecar, sidecar.mHello.capacity());
+    }
+
+    /** Returns whether a target would be able to run the tasks of a step with this capacity. */
+    static boolean couldRun(ActiveJob job, PoolStep step, SidecarView sidecar, Demand capacity) {
         return sidecar.mHello.service().equals(job.mQueue.service())
                 && step.requiredLabel().map(sidecar.mHello.labels()::contains).orElse(true)
-                && step.demand().fitsIn(sidecar.mHello.capacity());
+                && step.demand().fitsIn(capacity);
     }
 
     private static boolean eligible(TaskState task, SidecarView sidecar, long now) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -18,11 +18,29 @@
         if (job.mTasks.isEmpty()) {
             return Optional.of(new PoolAnswer.Failed("the job has no tasks"));
         }
+        if (everyTaskFits(job) && !everyTaskFitsNow(job)) {
+            return Optional.of(
+                    new PoolAnswer.Refused(
+                            "a task is larger than what targets have now",
+                            RetryDelay.millis(job.mJob.id(), 0)));
+        }
         return Optional.empty();
     }
 
-    /** Returns whether every task of a job would fit at least one known target when idle. */
+    /**
+     * Returns whether every task of a job would fit at least one known target when idle, with the
+     * most capacity that the target has had: a shrunk capacity may grow again.
+     */
     boolean everyTaskFits(ActiveJob job) {
+        return job.mJob.steps().stream()
+                .allMatch(step ->
+                        mState.mSidecars.values().stream()
+                                .anyMatch(sidecar ->
+                                        Placement.couldRun(
+                                                job, step, sidecar, sidecar.largestCapacity())));
+    }
+
+    private boolean everyTaskFitsNow(ActiveJob job) {
         return job.mJob.steps().stream()
                 .allMatch(step ->
                         mState.mSidecars.values().stream()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -62,6 +62,9 @@
      */
     private final Map<Long, Demand> mUnacknowledgedDemand = new LinkedHashMap<>();
 
+    /** The most of each resource that its target has had. */
+    private Demand mLargestCapacity;
+
     /** The free capacity in the sidecar's latest report. */
     private Demand mReportedFree = Demand.NONE;
 
@@ -87,6 +90,7 @@
 
     SidecarView(PoolMessage.Hello hello) {
         mHello = hello;
+        mLargestCapacity = hello.capacity();
     }
 
     NodeId node() {
@@ -167,6 +171,7 @@
     }
 
     void onRoom(PoolMessage.Room room) {
+        mLargestCapacity = mLargestCapacity.max(mHello.capacity());
         mReportedFree = room.free();
         mServing = room.serving();
         mSidecarClock = room.clock();
@@ -176,6 +181,11 @@
         mMinFreeThisTick = mMinFreeThisTick.min(free());
     }
 
+    /** Returns the most of each resource that the target has had since the sidecar is known. */
+    Demand largestCapacity() {
+        return mLargestCapacity;
+    }
+
     /**
      * Returns the free capacity less the demand of tasks that the sidecar has not accounted for
      * yet.
