Let the stand-in worker change its capacity while it runs

WorkerModel and WorkerStandIn take a new number of cores at any time, tell it with the next announcement, and count the starts that bring them over what they had up to 1.1 s before. PoolSimulation fails on each such start; without changes of capacity that is the check that it had.

--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
@@ -13,7 +13,8 @@
 /**
  * Model of one incarnation of a worker, without sockets or clocks. It executes orders whose fencing
  * token is not lower than the highest one seen, ends each run after the time in its payload divided
- * by the speed, and cuts off all runs when its lease expires. It does not check its capacity.
+ * by the speed, and cuts off all runs when its lease expires. It does not enforce its capacity, but
+ * counts the starts that bring its runs over it.
  *
  * <p>A payload has the form "MILLIS CORES": the run time at speed 1 and the cores that the run
  * uses. The time {@code now} is in milliseconds since the epoch and must never go back; lease ends
@@ -23,6 +24,12 @@
     /** The longest lease that a worker grants, in milliseconds. */
     public static final long LEASE_MILLIS = 1_000;
 
+    /**
+     * A shrunk capacity counts this much later, in milliseconds: the worker has announced it by
+     * then.
+     */
+    public static final long SHRINK_GRACE_MILLIS = 1_100;
+
     /**
      * A run that has not ended.
      *
@@ -30,7 +37,16 @@
      */
     private record Running(String task, int run, double cores, long endsAt) {}
 
-    private final double mCores;
+    /**
+     * A capacity that has shrunk since.
+     *
+     * @param countsUntil until when it still counts, in milliseconds since the epoch
+     */
+    private record FormerCapacity(double cores, long countsUntil) {}
+
+    private double mCores;
+    private final List<FormerCapacity> mFormerCapacities = new ArrayList<>();
+    private int mStartsOverCapacity;
     private double mSpeed;
     private final long mStartedAt;
     private final Map<String, Running> mRunning = new LinkedHashMap<>();
@@ -52,7 +68,7 @@
     /**
      * Creates a worker that runs nothing.
      *
-     * @param cores the cores that it announces
+     * @param cores the cores that it announces at first
      * @param speed divides the run time in the payload; at 0.5 runs take twice as long
      * @param startedAt when this incarnation started, in milliseconds since the epoch; its
      *     monotonic clock starts at 0 then
@@ -98,6 +114,26 @@
         return mCores;
     }
 
+    /** Changes the cores of the worker; what runs on it goes on. */
+    public void setCores(double cores, long now) {
+        if (cores < mCores) {
+            mFormerCapacities.add(new FormerCapacity(mCores, now + SHRINK_GRACE_MILLIS));
+        }
+        mCores = cores;
+    }
+
+    /** Returns how many starts have brought the runs over the capacity that counted then. */
+    public int startsOverCapacity() {
+        return mStartsOverCapacity;
+    }
+
+    private double countedCores(long now) {
+        mFormerCapacities.removeIf(former -> former.countsUntil() <= now);
+        return mFormerCapacities.stream()
+                .mapToDouble(FormerCapacity::cores)
+                .reduce(mCores, Math::max);
+    }
+
     /** Returns the tasks that are running. */
     public List<String> runningTasks() {
         return List.copyOf(mRunning.keySet());
@@ -153,6 +189,9 @@
         Running started = new Running(task, run, Double.parseDouble(fields[1]), now + millis);
         mRunning.put(task, started);
         mStartedTasks.add(task);
+        if (usedCores() > countedCores(now)) {
+            mStartsOverCapacity++;
+        }
         if (mFailing) {
             end(started, RunSnapshot.Outcome.FAILED);
         }
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
@@ -41,7 +41,7 @@
      * @param announcedAddress the address for orders that it announces, as host:port; differs from
      *     its own address behind a proxy
      * @param sidecarAddress where it announces itself, as host:port
-     * @param cores the cores that it announces; it does not enforce them
+     * @param cores the cores that it announces at first; it does not enforce them
      * @param speed divides the run time in the payload of a task; at 0.5 it takes twice as long
      */
     public record WorkerConfig(
@@ -83,6 +83,7 @@
     private final HttpServer mServer;
     private final List<PendingPoll> mPendingPolls = new ArrayList<>();
     private final Set<String> mTasksBeforeRestart = new HashSet<>();
+    private int mStartsOverCapacityBeforeRestart;
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
                     Thread.ofPlatform().daemon().name("worker-timer").factory());
@@ -131,12 +132,23 @@
         mModel.setFailing(failing);
     }
 
+    /** Changes the cores, which the next announcement tells; what runs goes on. */
+    public synchronized void setCores(double cores) {
+        mModel.setCores(cores, mClock.now());
+    }
+
+    /** Returns how many starts have brought an incarnation over its capacity. */
+    public synchronized int startsOverCapacity() {
+        return mStartsOverCapacityBeforeRestart + mModel.startsOverCapacity();
+    }
+
     /**
      * Simulates a crash: loses all runs and starts a new incarnation at the same address, which
      * neither fails nor stalls runs.
      */
     public synchronized void restart() {
         mTasksBeforeRestart.addAll(mModel.startedTasks());
+        mStartsOverCapacityBeforeRestart += mModel.startsOverCapacity();
         mModel = new WorkerModel(mConfig.cores(), mConfig.speed(), mClock.now());
         mAnnouncementCount = 0;
     }
@@ -263,7 +275,7 @@
                         "capacity",
                                 Map.of(
                                         "cpu",
-                                        Math.round(mConfig.cores() * MILLICORES_PER_CORE),
+                                        Math.round(mModel.cores() * MILLICORES_PER_CORE),
                                         "memMb",
                                         1 << 16,
                                         "gpu",
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -15,7 +15,7 @@
 /**
  * Runs real entry and sidecar cores with models of workers, links and callers in simulated time,
  * optionally with random faults. After each event it checks that no task has two active runs and
- * that no worker is overloaded.
+ * that no start has overloaded a worker.
  */
 final class PoolSimulation {
     static final long START_MILLIS = 1_800_000_000_000L;
@@ -55,6 +55,7 @@
     double mLateOrderProbability;
 
     int mSucceededJobCount;
+    int mFailedJobCount;
 
     /** Number of messages between entries and sidecars, by type. */
     final Map<String, Long> mMessageCounts = new TreeMap<>();
@@ -172,7 +173,7 @@
         Set<String> running = new HashSet<>();
         for (SimulatedSidecar sidecar : mSidecars) {
             sidecar.mWorker.advance(mNow);
-            if (sidecar.mWorker.usedCores() > sidecar.mWorker.cores()) {
+            if (sidecar.mWorker.startsOverCapacity() > 0) {
                 throw new AssertionError(
                         "Worker "
                                 + sidecar.mIndex
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedCaller.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedCaller.java
@@ -89,7 +89,10 @@
                 mFinished = true;
                 mSimulation.mSucceededJobCount++;
             }
-            case PoolAnswer.Failed failed -> mFinished = true;
+            case PoolAnswer.Failed failed -> {
+                mFinished = true;
+                mSimulation.mFailedJobCount++;
+            }
             case PoolAnswer.Refused refused -> mFinished = true;
             case PoolAnswer.Abandoned abandoned -> {
                 mPendingToken = 0;
