Test the coding of all messages of a pool, negative amounts included

WireCodecTest left the messages of a pool out. It now covers each of them and each kind of report. All passed at once, also a report of free capacity that is negative after a target has shrunk: no fault.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
@@ -4,12 +4,14 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.PeerMessage;
+import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.SidecarMessage;
 import org.jackdawsaddle.internal.message.StartTask;
 import org.jackdawsaddle.internal.message.TaskKey;
@@ -21,10 +23,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Tests that encoding and decoding a message yields an equal one. Messages of a pool are not
- * covered.
- */
+/** Tests that encoding and decoding a message yields an equal one. */
 public class WireCodecTest {
     private static final NodeId NODE = new NodeId("node", Long.MAX_VALUE);
     private static final SubmissionId ID = SubmissionId.create(1_800_000_000_000L, new Random(1));
@@ -70,10 +69,42 @@
         return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
     }
 
+    @DataProvider
+    public Object[][] poolMessages() {
+        PoolMessage.Run run = new PoolMessage.Run("á.0.0.1", 2);
+        List<PoolMessage.TaskReport> reports =
+                Stream.of(PoolMessage.ReportKind.values())
+                        .map(kind -> new PoolMessage.TaskReport(run, kind))
+                        .toList();
+        PoolMessage.StartTask task =
+                new PoolMessage.StartTask(run, "work", new Demand(0.001, Long.MAX_VALUE, 2));
+        Demand overcommitted = new Demand(-0.5, -300, -2);
+        List<PoolMessage> all =
+                List.of(
+                        new PoolMessage.Hello(
+                                NODE, "d", "t", "s", new Demand(64, 4, 1), List.of("a", "r1-1"), 7),
+                        new PoolMessage.Room(overcommitted, true, 3, 4, List.of("j")),
+                        new PoolMessage.TaskReports(reports),
+                        new PoolMessage.Welcome(NODE, List.of("127.0.0.1:1")),
+                        new PoolMessage.Start(1, 2, List.of(task)),
+                        new PoolMessage.Stop(List.of(run)),
+                        new PoolMessage.Resume(List.of(run)),
+                        new PoolMessage.Ping(5, true),
+                        new PoolMessage.PeerHello(NODE, "127.0.0.1:1", 6),
+                        new PoolMessage.Members(List.of("127.0.0.1:1", "127.0.0.1:2")),
+                        new PoolMessage.ConfigurationPush(8, "{}"));
+        return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
+    }
+
     private static Message jobAnswered(JobAnswer answer) {
         return new PeerMessage.JobAnswered(6, answer);
     }
 
+    @Test(dataProvider = "poolMessages")
+    public void decodedPoolMessageEqualsTheOriginal(Message message) {
+        assertEquals(WireCodec.decode(WireCodec.encode(message)), message);
+    }
+
     @Test(dataProvider = "messages")
     public void decodedMessageEqualsTheOriginal(Message message) {
         assertEquals(WireCodec.decode(WireCodec.encode(message)), message);
