Answer all jobs before an entry's grace period ends

What callers saw: an entry that stopped on SIGTERM closed its connections 600 ms before the end of the grace period, whatever jobs it still had. Jobs that waited for free capacity, were to be retried after the loss of a target, or ran too long got no answer; nothing told their callers whether anything had run.

Cause: PlatformEntry.stop() waited for the jobs up to the work deadline and then closed the server. Nobody told the decisions about that deadline, so no job was ended by it. Class: a deadline that is known to the outer layer only.

Evidence: new EntryShutdownTest.answersJobsThatCannotEndInTheGracePeriod on: "expected [504] but found [0]" (0: connection closed without a response); the server logged nothing.

Change: the request to leave carries the work deadline. A job that has not started and is not expected to end by then is refused at once; at the deadline every job left is refused (never placed) or abandoned, and its runs are stopped.

Measured: the test passes, with 504 and 503; PoolEntryCoreTest passes.

--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/LocalPlatform.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/LocalPlatform.java
@@ -47,8 +47,13 @@
      * @param workers the number of workers, each with a sidecar
      */
     public LocalPlatform(int network, int entries, int workers, UnixClock clock) {
+        this(new PlatformFixture(network), entries, workers, clock);
+    }
+
+    /** Creates a platform as above, with the addresses and settings of a fixture. */
+    public LocalPlatform(PlatformFixture fixture, int entries, int workers, UnixClock clock) {
         mClock = clock;
-        mFixture = new PlatformFixture(network);
+        mFixture = fixture;
         mStore = new KvStandIn(mFixture.storeAddress(), clock);
         mHttpClient = new HttpClient(clock, 1);
         List<String> seeds = List.of(mFixture.seed(0));
@@ -89,6 +94,11 @@
         return mStore;
     }
 
+    /** Stops the last entry, and returns once it has stopped. */
+    public void stopLastEntry() {
+        mEntries.removeLast().stop();
+    }
+
     /**
      * Returns a worker.
      *
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
@@ -28,20 +28,32 @@
     private static final int FIRST_ENTRY_HOST = 2;
     private static final int FIRST_SIDECAR_HOST = 100;
     private static final long RESEND_MILLIS = 1_300;
-    private static final double GRACE_SECONDS = 1;
+    private static final double DEFAULT_GRACE_SECONDS = 1;
     private static final double[] SPEEDS = {0.6, 1.0, 1.6};
     private static final int MILLICORES_PER_CORE = 1_000;
 
     private final int mNetwork;
+    private final double mGraceSeconds;
 
     /**
-     * Creates a fixture.
+     * Creates a fixture whose processes have a grace period of 1 s.
      *
      * @param network the second octet of all addresses, 1 to 254, distinct for platforms that run
      *     at the same time
      */
     public PlatformFixture(int network) {
+        this(network, DEFAULT_GRACE_SECONDS);
+    }
+
+    /**
+     * Creates a fixture.
+     *
+     * @param network as above
+     * @param graceSeconds the grace period of the processes, in seconds
+     */
+    public PlatformFixture(int network, double graceSeconds) {
         mNetwork = network;
+        mGraceSeconds = graceSeconds;
     }
 
     /** Returns where the store listens. */
@@ -105,7 +117,7 @@
         return settings("sidecar-" + sidecar, ip, seeds, storeAddress);
     }
 
-    private static PlatformSettings settings(
+    private PlatformSettings settings(
             String name, String ip, List<String> seeds, String storeAddress) {
         return new PlatformSettings(
                 name,
@@ -119,7 +131,7 @@
                 storeAddress,
                 WorkerModel.LEASE_MILLIS,
                 RESEND_MILLIS,
-                GRACE_SECONDS);
+                mGraceSeconds);
     }
 
     /**
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -195,6 +195,14 @@
         assertEquals(mOrders.size(), 1);
     }
 
+    @Test
+    public void answersEveryJobByTheWorkDeadline() {
+        submit("aa", 9, 4);
+        mCore.handle(new PoolEntryEvent.LeaveRequested(mNow), mNow);
+        tick();
+        assertEquals(mAnswers, List.of(new PoolAnswer.Abandoned("shutting down")));
+    }
+
     @Test
     public void retriesAStalledRun() {
         submit("aa", 1, 4);
--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/EntryShutdownTest.java
@@ -0,0 +1,62 @@
+package org.jackdawsaddle.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.CompletableFuture;
+import org.jackdawsaddle.internal.http.HttpResponse;
+import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.standin.platform.LocalPlatform;
+import org.jackdawsaddle.standin.platform.PlatformFixture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** An entry that shuts down answers each request that it has read, before it closes. */
+public class EntryShutdownTest {
+    private static final int LOOPBACK_NETWORK = 185;
+    private static final double GRACE_SECONDS = 4.2;
+    private static final long READY_TIMEOUT_MILLIS = 20_000;
+    private static final long POLL_INTERVAL_MILLIS = 20;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final UnixClock mClock = new UnixClock();
+    private PlatformFixture mFixture;
+    private LocalPlatform mPlatform;
+
+    @BeforeMethod
+    public void start() throws InterruptedException {
+        mFixture = new PlatformFixture(LOOPBACK_NETWORK, GRACE_SECONDS);
+        mPlatform = new LocalPlatform(mFixture, 1, 1, mClock);
+        mPlatform.start();
+        long deadline = mClock.now() + READY_TIMEOUT_MILLIS;
+        while (!mPlatform.ready(0)) {
+            assertTrue(mClock.now() < deadline, "the entry did not become ready");
+            Thread.sleep(POLL_INTERVAL_MILLIS);
+        }
+    }
+
+    @AfterMethod
+    public void stop() {
+        mPlatform.stop();
+    }
+
+    @Test
+    public void answersJobsThatCannotEndInTheGracePeriod() throws InterruptedException {
+        CompletableFuture<HttpResponse> running =
+                mPlatform.submit(0, "00000000000000a1", new PlatformFixture.Work(4, 6_000, 4));
+        Thread.sleep(500);
+        CompletableFuture<HttpResponse> waiting =
+                mPlatform.submit(0, "00000000000000a2", new PlatformFixture.Work(1, 3_000, 4));
+        Thread.sleep(100);
+        mPlatform.stopLastEntry();
+        assertEquals(statusOf(running), GATEWAY_TIMEOUT);
+        assertEquals(statusOf(waiting), UNAVAILABLE, "none of its tasks has run");
+    }
+
+    /** Returns the status of a response; 0 if the connection ended without one. */
+    private static int statusOf(CompletableFuture<HttpResponse> response) {
+        return response.handle((answer, failure) -> answer == null ? 0 : answer.status()).join();
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -121,13 +121,16 @@
     }
 
     /**
-     * Begins a graceful shutdown: reports the entry as not ready from now on. Jobs are still
-     * accepted and answered until {@link #stop}, which should follow once the entry is idle.
+     * Begins a graceful shutdown: reports the entry as not ready from now on. Jobs that can end in
+     * time are still accepted; all are answered by the work deadline. {@link #stop} should follow
+     * once the entry is idle.
+     *
+     * @param workDeadline in milliseconds since the epoch
      */
-    public void leave() {
+    public void leave(long workDeadline) {
         EventLog.line(Event.LEAVING).with("entry", mSelf).write();
         mReady = false;
-        post(new PoolEntryEvent.LeaveRequested());
+        post(new PoolEntryEvent.LeaveRequested(workDeadline));
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -192,22 +192,27 @@
     }
 
     /**
-     * Ends a job whose deadline has passed, or one without placed tasks that fits no target or
-     * would end too late.
+     * Ends a job whose deadline has passed or that is not done when the process stops, or one
+     * without placed tasks that fits no target or would end too late.
      */
     private void endIfExpired(ActiveJob job) {
         if (job.mJob.deadline() <= mState.mNow) {
-            String reason = "not done when its caller stopped waiting";
-            end(
-                    job,
-                    job.everPlaced()
-                            ? new PoolAnswer.Abandoned(reason)
-                            : new PoolAnswer.Refused(reason, RetryDelay.millis(job.mJob.id(), 0)));
+            endUnfinished(job, "not done when its caller stopped waiting");
+        } else if (mState.mWorkDeadline <= mState.mNow) {
+            endUnfinished(job, PoolAdmission.SHUTTING_DOWN);
         } else if (!job.everPlaced()) {
             endIfUnplaceable(job);
         }
     }
 
+    private void endUnfinished(ActiveJob job, String reason) {
+        end(
+                job,
+                job.everPlaced()
+                        ? new PoolAnswer.Abandoned(reason)
+                        : new PoolAnswer.Refused(reason, RetryDelay.millis(job.mJob.id(), 0)));
+    }
+
     private void endIfUnplaceable(ActiveJob job) {
         if (mAdmission.everyTaskFits(job)) {
             refuseIfTooLate(job);
@@ -219,8 +224,9 @@
 
     private void refuseIfTooLate(ActiveJob job) {
         if (!mPlacement.useful(job, mState.mNow)) {
-            long retryMillis = RetryDelay.millis(job.mJob.id(), 0);
-            end(job, new PoolAnswer.Refused("waited too long for room", retryMillis));
+            endUnfinished(job, "waited too long for room");
+        } else if (!mAdmission.endsBeforeShutdown(job)) {
+            endUnfinished(job, PoolAdmission.SHUTTING_DOWN);
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -5,6 +5,9 @@
 
 /** Decides whether the targets could run a job, and how many cores an entry may count on. */
 final class PoolAdmission {
+    /** The reason of answers to jobs that cannot end before the process stops. */
+    static final String SHUTTING_DOWN = "shutting down";
+
     private final PoolEntryState mState;
     private final Placement mPlacement;
 
@@ -18,9 +21,18 @@
         if (job.mTasks.isEmpty()) {
             return Optional.of(new PoolAnswer.Failed("the job has no tasks"));
         }
+        if (!endsBeforeShutdown(job)) {
+            return Optional.of(
+                    new PoolAnswer.Refused(SHUTTING_DOWN, RetryDelay.millis(job.mJob.id(), 0)));
+        }
         return Optional.empty();
     }
 
+    /** Returns whether a job that started now is expected to end before the process stops. */
+    boolean endsBeforeShutdown(ActiveJob job) {
+        return mState.mNow + mPlacement.longestTaskMillis(job) <= mState.mWorkDeadline;
+    }
+
     /** Returns whether every task of a job would fit at least one known target when idle. */
     boolean everyTaskFits(ActiveJob job) {
         return job.mJob.steps().stream()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -69,7 +69,7 @@
                 mPeers.onTick();
                 mJobs.onTick();
             }
-            case PoolEntryEvent.LeaveRequested leave -> mState.mLeaving = true;
+            case PoolEntryEvent.LeaveRequested leave -> mState.mWorkDeadline = leave.workDeadline();
         }
     }
 
@@ -112,7 +112,7 @@
      */
     public boolean ready() {
         return mState.mConfiguration.version() > 0
-                && !mState.mLeaving
+                && !mState.leaving()
                 && mState.mSidecars.values().stream().anyMatch(SidecarView::serving);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -46,6 +46,11 @@
     /** The periodic timer has fired. */
     record Tick() implements PoolEntryEvent {}
 
-    /** The process is about to stop: the entry is no longer ready, but still accepts jobs. */
-    record LeaveRequested() implements PoolEntryEvent {}
+    /**
+     * The process is about to stop: the entry is no longer ready, but still accepts jobs that can
+     * end in time.
+     *
+     * @param workDeadline when all jobs must have been answered, in milliseconds since the epoch
+     */
+    record LeaveRequested(long workDeadline) implements PoolEntryEvent {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -46,7 +46,11 @@
     /** A task that found no free capacity since the watched sidecars were last chosen. */
     Optional<TaskState> mWaitingTask = Optional.empty();
 
-    boolean mLeaving;
+    /**
+     * When all jobs must have been answered because the process stops, in milliseconds since the
+     * epoch; {@link Long#MAX_VALUE} if it does not.
+     */
+    long mWorkDeadline = Long.MAX_VALUE;
 
     /** The time of the current event, in milliseconds since the epoch. */
     long mNow;
@@ -59,6 +63,11 @@
         mTimeline.advanceTo(now);
     }
 
+    /** Returns whether the process is about to stop. */
+    boolean leaving() {
+        return mWorkDeadline < Long.MAX_VALUE;
+    }
+
     void count(PoolEntryCounter counter) {
         mCounts[counter.ordinal()]++;
     }
