Refuse requests before an entry closes, and wait for those that were read

What callers saw: a request that a stopping entry read just before it closed was passed on to a worker and cut off 50 ms later without an answer.

Cause: PlatformEntry.stop() looked whether jobs were active, and closed the server if none was. A request whose body had not arrived yet, or that was read after the look, was not counted; the server waited 50 ms for it, which is less than most jobs take. Class: check then act on a state that others change.

Evidence: EntryShutdownTest.answersARequestWhoseBodyArrivesWhileTheEntryStops on: "response: expected [true] but found [false]" (the connection ended without a byte, after the job had been placed).

Change: the server counts every request from its head to the end of its response (RequestTracker in place of Undertow's handler, which does not count refused ones). A server that still has to cut requests off logs requests-cut with their number, which was not visible before.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -13,6 +13,8 @@
     STOPPED(10),
     /** A process has been asked to stop and is draining. */
     LEAVING(10),
+    /** A server has closed connections with requests in progress, which get no answer. */
+    REQUESTS_CUT(10),
     /** The settings file has been reloaded. */
     SETTINGS_READ(10),
     /** The listening address for callers or targets is open. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/HttpServer.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/HttpServer.java
@@ -3,16 +3,18 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
-import io.undertow.server.handlers.GracefulShutdownHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 
 /** An HTTP server that waits for the requests in progress before it stops, for a limited time. */
 public final class HttpServer implements ManagedService {
     private static final int BUFFER_BYTES = 4_096;
 
-    private final GracefulShutdownHandler mHandler;
+    private final List<String> mAddresses;
+    private final RequestTracker mTracker;
     private final Undertow mUndertow;
     private final long mDrainMillis;
 
@@ -40,7 +42,8 @@
             long maxBodyBytes,
             long drainMillis,
             HttpHandler handler) {
-        mHandler = new GracefulShutdownHandler(handler);
+        mAddresses = List.copyOf(addresses);
+        mTracker = new RequestTracker(handler);
         mDrainMillis = drainMillis;
         Undertow.Builder builder = Undertow.builder();
         for (String address : addresses) {
@@ -53,7 +56,7 @@
                         .setBufferSize(BUFFER_BYTES)
                         .setDirectBuffers(false)
                         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
-                        .setHandler(mHandler)
+                        .setHandler(mTracker)
                         .build();
     }
 
@@ -62,13 +65,24 @@
         mUndertow.start();
     }
 
+    /** Refuses requests from now on; those in progress continue. */
+    public void refuseRequests() {
+        mTracker.refuseRequests();
+    }
+
+    /** Returns whether no request is in progress. */
+    public boolean idle() {
+        return mTracker.requestsInProgress() == 0;
+    }
+
     @Override
     public void stop() {
-        mHandler.shutdown();
-        try {
-            mHandler.awaitShutdown(mDrainMillis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        refuseRequests();
+        if (!mTracker.awaitIdle(mDrainMillis)) {
+            EventLog.line(Event.REQUESTS_CUT)
+                    .with("addresses", mAddresses)
+                    .with("requests", mTracker.requestsInProgress())
+                    .write();
         }
         mUndertow.stop();
     }
