Answer requests whose answer fails to be made

What callers would see: a request without an answer until their own timeout. One case by reading: an id is issued, and the deadline of the job passes before it is checked again.

Cause: handlers continued futures with thenAccept. An exception in such a continuation, or of the future itself, goes into a future that nobody holds; the exchange stays open for good. The same on the control thread: an exception in one action lost the actions after it, answers of other callers included; and a query whose evaluation failed completed nothing.

Evidence: HttpExchangesTest.answersARequestWhoseFutureOrHandlerFails, with respond() as the plain thenAccept that it replaces: "TimeoutException: No response from 127.186.0.1:18186 before the deadline".

Change: HttpExchanges.respond() answers failures (the error of a JackdawException, else 500, logged) and takes the place of thenAccept in all three handlers; actions are performed one by one, each with its own guard; queries on the control thread pass their failure on.

Measured: the test, CallerInterfaceTest and EntryShutdownTest pass.

--- a/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/EntryService.java
@@ -181,7 +181,7 @@
     private void perform() {
         List<EntryAction> actions = mCore.actions();
         mTraceWriter.ifPresent(trace -> trace.writeActions(actions));
-        actions.forEach(this::perform);
+        actions.forEach(action -> ControlLoop.runSafely(() -> perform(action)));
         mConnections.flush();
         mReady = mCore.ready();
     }
@@ -245,9 +245,7 @@
     }
 
     private <T> CompletableFuture<T> callOnControlThread(Supplier<T> work) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        mLoop.execute(() -> result.complete(work.get()));
-        return result;
+        return CompletableFuture.supplyAsync(work, mLoop::execute);
     }
 
     private void addMetrics() {
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -169,9 +169,7 @@
 
     /** Returns the number of jobs of a queue of which no task has been placed on a sidecar. */
     public CompletableFuture<Long> pendingJobs(String queue) {
-        CompletableFuture<Long> count = new CompletableFuture<>();
-        mLoop.execute(() -> count.complete(mCore.pendingJobs(queue)));
-        return count;
+        return CompletableFuture.supplyAsync(() -> mCore.pendingJobs(queue), mLoop::execute);
     }
 
     /** Returns whether callers should send jobs to this entry. */
@@ -237,7 +235,7 @@
         }
         mReady = mCore.ready();
         mIdle = mCore.idle();
-        mCore.actions().forEach(this::perform);
+        mCore.actions().forEach(action -> ControlLoop.runSafely(() -> perform(action)));
         mAcceptor.flush();
         mDialer.flush();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/AdminHandler.java
@@ -83,17 +83,20 @@
         HttpExchanges.dispatch(
                 exchange,
                 () ->
-                        mEntry.status()
-                                .thenAccept(
-                                        status -> HttpExchanges.sendJson(exchange, OK, status)));
+                        HttpExchanges.respond(
+                                exchange,
+                                mEntry.status(),
+                                status -> HttpExchanges.sendJson(exchange, OK, status)));
     }
 
     private void configuration(HttpServerExchange exchange) {
         HttpExchanges.dispatch(
                 exchange,
                 () ->
-                        mEntry.configuration()
-                                .thenAccept(json -> HttpExchanges.sendJson(exchange, OK, json)));
+                        HttpExchanges.respond(
+                                exchange,
+                                mEntry.configuration(),
+                                json -> HttpExchanges.sendJson(exchange, OK, json)));
     }
 
     private void publish(HttpServerExchange exchange) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/entry/CallerHandler.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/entry/CallerHandler.java
@@ -51,8 +51,10 @@
                 text -> {
                     JobBody body = StrictJson.read(text, JobBody.class);
                     body.validatedDeadline(mEntry.now());
-                    mEntry.issueIds(1, Optional.of(body.kind()))
-                            .thenAccept(ids -> submit(exchange, ids.getFirst(), body));
+                    HttpExchanges.respond(
+                            exchange,
+                            mEntry.issueIds(1, Optional.of(body.kind())),
+                            ids -> submit(exchange, ids.getFirst(), body));
                 });
     }
 
@@ -65,7 +67,8 @@
     private void submit(HttpServerExchange exchange, SubmissionId id, JobBody body) {
         long deadline = body.validatedDeadline(mEntry.now());
         JobRequest request = new JobRequest(id, body.team(), body.kind(), deadline, body.tasks());
-        mEntry.submit(request).thenAccept(answer -> reply(exchange, id, answer));
+        HttpExchanges.respond(
+                exchange, mEntry.submit(request), answer -> reply(exchange, id, answer));
     }
 
     private void query(HttpServerExchange exchange) {
@@ -73,8 +76,10 @@
                 exchange,
                 () -> {
                     SubmissionId id = parseId(exchange);
-                    mEntry.query(id, parameter(exchange, "service"))
-                            .thenAccept(answer -> reply(exchange, id, answer));
+                    HttpExchanges.respond(
+                            exchange,
+                            mEntry.query(id, parameter(exchange, "service")),
+                            answer -> reply(exchange, id, answer));
                 });
     }
 
@@ -92,9 +97,10 @@
                 exchange,
                 () -> {
                     int count = parseCount(optionalParameter(exchange, "count").orElse("1"));
-                    mEntry.issueIds(count, optionalParameter(exchange, "kind"))
-                            .thenAccept(
-                                    ids -> HttpExchanges.sendJson(exchange, OK, new IdsBody(ids)));
+                    HttpExchanges.respond(
+                            exchange,
+                            mEntry.issueIds(count, optionalParameter(exchange, "kind")),
+                            ids -> HttpExchanges.sendJson(exchange, OK, new IdsBody(ids)));
                 });
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -3,14 +3,20 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
 import org.jackdawsaddle.internal.json.Json;
 
 /** Reads request bodies and writes responses without blocking a thread. */
 public final class HttpExchanges {
+    private static final Logger LOG = LogManager.getLogger(HttpExchanges.class);
     private static final String JSON = "application/json";
+    private static final int INTERNAL_ERROR = 500;
 
     /**
      * The response body of an error.
@@ -87,8 +93,8 @@
 
     /**
      * Runs the handler on the current thread, which must not be blocked. A {@link JackdawException}
-     * that it throws is sent as the response; otherwise the exchange stays open until the handler,
-     * or a future that it has started, has sent one.
+     * that it throws is sent as the response; otherwise the exchange stays open until the handler
+     * has sent one, or a future that it has passed to {@link #respond}.
      */
     public static void dispatch(HttpServerExchange exchange, Runnable handler) {
         exchange.dispatch(
@@ -101,4 +107,28 @@
                     }
                 });
     }
+
+    /**
+     * Passes the result of a future to the handler, which sends the response. If either fails, that
+     * is sent as the response: a {@link JackdawException} as {@link #dispatch} does, anything else
+     * with status 500.
+     */
+    public static <T> void respond(
+            HttpServerExchange exchange, CompletableFuture<T> result, Consumer<T> handler) {
+        result.thenAccept(handler)
+                .exceptionally(failure -> {
+                    sendFailure(exchange, failure);
+                    return null;
+                });
+    }
+
+    private static void sendFailure(HttpServerExchange exchange, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof JackdawException e) {
+            sendError(exchange, e.errorCode(), e.detail());
+        } else {
+            LOG.error("Unexpected exception; the request is answered with status 500", cause);
+            sendJson(exchange, INTERNAL_ERROR, "{}");
+        }
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
@@ -94,7 +94,8 @@
         return TimeUnit.MILLISECONDS.toNanos(mTickMillis.getAsLong());
     }
 
-    private static void runSafely(Runnable work) {
+    /** Runs work on the current thread, and logs an exception that it throws. */
+    public static void runSafely(Runnable work) {
         try {
             work.run();
         } catch (RuntimeException e) {
