--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -121,13 +121,16 @@
     }
 
     /**
-     * Begins a graceful shutdown: reports the entry as not ready from now on. Jobs are still
-     * accepted and answered until {@link #stop}, which should follow once the entry is idle.
+     * Begins a graceful shutdown: reports the entry as not ready from now on. Jobs that can end in
+     * time are still accepted; all are answered by the work deadline. {@link #stop} should follow
+     * once the entry is idle.
+     *
+     * @param workDeadline in milliseconds since the epoch
      */
-    public void leave() {
+    public void leave(long workDeadline) {
         EventLog.line(Event.LEAVING).with("entry", mSelf).write();
         mReady = false;
-        post(new PoolEntryEvent.LeaveRequested());
+        post(new PoolEntryEvent.LeaveRequested(workDeadline));
     }
 
     /**
@@ -166,9 +169,7 @@
 
     /** Returns the number of jobs of a queue of which no task has been placed on a sidecar. */
     public CompletableFuture<Long> pendingJobs(String queue) {
-        CompletableFuture<Long> count = new CompletableFuture<>();
-        mLoop.execute(() -> count.complete(mCore.pendingJobs(queue)));
-        return count;
+        return CompletableFuture.supplyAsync(() -> mCore.pendingJobs(queue), mLoop::execute);
     }
 
     /** Returns whether callers should send jobs to this entry. */
@@ -234,7 +235,7 @@
         }
         mReady = mCore.ready();
         mIdle = mCore.idle();
-        mCore.actions().forEach(this::perform);
+        mCore.actions().forEach(action -> ControlLoop.runSafely(() -> perform(action)));
         mAcceptor.flush();
         mDialer.flush();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -5,6 +5,9 @@
 
 /** Decides whether the targets could run a job, and how many cores an entry may count on. */
 final class PoolAdmission {
+    /** The reason of answers to jobs that cannot end before the process stops. */
+    static final String SHUTTING_DOWN = "shutting down";
+
     private final PoolEntryState mState;
     private final Placement mPlacement;
 
@@ -19,14 +22,23 @@
             return Optional.of(new PoolAnswer.Failed("the job has no tasks"));
         }
         if (everyTaskFits(job) && !everyTaskFitsNow(job)) {
-            return Optional.of(
-                    new PoolAnswer.Refused(
-                            "a task is larger than what targets have now",
-                            RetryDelay.millis(job.mJob.id(), 0)));
+            return Optional.of(refusal(job, "a task is larger than what targets have now"));
+        }
+        if (!endsBeforeShutdown(job)) {
+            return Optional.of(refusal(job, SHUTTING_DOWN));
         }
         return Optional.empty();
     }
 
+    private static PoolAnswer refusal(ActiveJob job, String reason) {
+        return new PoolAnswer.Refused(reason, RetryDelay.millis(job.mJob.id(), 0));
+    }
+
+    /** Returns whether a job that started now is expected to end before the process stops. */
+    boolean endsBeforeShutdown(ActiveJob job) {
+        return mState.mNow + mPlacement.longestTaskMillis(job) <= mState.mWorkDeadline;
+    }
+
     /**
      * Returns whether every task of a job would fit at least one known target when idle, with the
      * most capacity that the target has had: a shrunk capacity may grow again.
