Tick when the next deadline is due: 100 ms ticks of idle processes were most of their wake-ups

Cause: ticks were periodic, 100 ms or 20 ms, though what waits for time has a deadline of its own.

Change: PoolSidecarCore says when the next tick is due, from the stored deadlines: reports of free capacity, timeouts of connections, polls, stops to repeat, saving of the incarnation, expiry of the announcement. Entries tick each 20 ms with work as before, and each 500 ms without; a pause of the process is found by a tick that is late by more than 300 ms, so the longest unnoticed pause of an idle entry is 800 ms, under the resend delay of 1.3 s. The pool simulation now ticks when the cores ask for it, not each 20 ms: all simulated tests run on the new deadlines.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
@@ -87,6 +87,11 @@
         }
     }
 
+    @Override
+    long nextTickAt() {
+        return mCore.nextTickAt();
+    }
+
     @Override
     void perform() {
         for (PoolEntryAction action : mCore.actions()) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
@@ -13,12 +13,21 @@
 
     boolean mAlive;
 
+    /** Number of wake-ups, in which the process handles all events of the same millisecond. */
+    long mWakeUpCount;
+
+    /** When the process last woke up, in milliseconds since the epoch. */
+    private long mWokenAt;
+
     /** Until when the process is busy with earlier work, in milliseconds since the epoch. */
     private double mBusyUntil;
 
     /** Until when the process is frozen, in milliseconds since the epoch. */
     long mFrozenUntil;
 
+    /** When the next tick is scheduled, in milliseconds since the epoch. */
+    private long mTickAt;
+
     SimulatedNode(PoolSimulation simulation, String name) {
         mSimulation = simulation;
         mName = name;
@@ -40,8 +49,20 @@
             runWhenIdle(incarnation, work);
             return;
         }
+        runNow(incarnation, work);
+    }
+
+    private void runNow(int incarnation, Runnable work) {
+        if (mSimulation.mNow > mWokenAt) {
+            mWokenAt = mSimulation.mNow;
+            mWakeUpCount++;
+        }
         work.run();
         perform();
+        if (nextTickAt() < mTickAt) {
+            mTickAt = nextTickAt();
+            mSimulation.at(Math.max(mTickAt, mSimulation.mNow), () -> tick(incarnation));
+        }
     }
 
     /** Executes work after the work that waits already, and keeps the process busy meanwhile. */
@@ -51,17 +72,20 @@
                 (long) mBusyUntil,
                 () -> {
                     if (mAlive && incarnation == mIncarnation) {
-                        work.run();
-                        perform();
+                        runNow(incarnation, work);
                     }
                 });
     }
 
-    /** Sends a tick to the core, now and at each interval until the incarnation is killed. */
-    void tickPeriodically(int incarnation) {
-        if (mAlive && incarnation == mIncarnation) {
-            runIfAlive(incarnation, this::onTick);
-            mSimulation.after(PoolTiming.TICK_INTERVAL_MILLIS, () -> tickPeriodically(incarnation));
+    /** Sends a tick to the core, unless an earlier one was scheduled later and has been sent. */
+    private void tick(int incarnation) {
+        if (mSimulation.mNow >= mTickAt) {
+            runIfAlive(
+                    incarnation,
+                    () -> {
+                        mTickAt = Long.MAX_VALUE;
+                        onTick();
+                    });
         }
     }
 
@@ -70,8 +94,9 @@
         mIncarnation++;
         mAlive = true;
         mFrozenUntil = 0;
+        mTickAt = Long.MAX_VALUE;
         startCore();
-        tickPeriodically(mIncarnation);
+        runIfAlive(mIncarnation, this::onTick);
     }
 
     /** Ends the incarnation without a shutdown, and schedules the start of the next one. */
@@ -88,6 +113,9 @@
     /** Sends a tick to the core. */
     abstract void onTick();
 
+    /** Returns when the core's next tick is due, in milliseconds since the epoch. */
+    abstract long nextTickAt();
+
     /** Performs the actions that the core has requested. */
     abstract void perform();
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -165,6 +165,11 @@
         mCore.handle(new PoolSidecarEvent.Tick(), mSimulation.mNow);
     }
 
+    @Override
+    long nextTickAt() {
+        return mCore.nextTickAt();
+    }
+
     @Override
     void perform() {
         for (PoolSidecarAction action : mCore.actions()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -13,7 +13,6 @@
 import org.jackdawsaddle.internal.pool.PoolEntryCore;
 import org.jackdawsaddle.internal.pool.PoolEntryCounter;
 import org.jackdawsaddle.internal.pool.PoolEntryEvent;
-import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.internal.pool.connection.PoolAcceptor;
 import org.jackdawsaddle.internal.pool.connection.PoolDialer;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
@@ -82,7 +81,7 @@
         mLoop =
                 new ControlLoop(
                         "control",
-                        () -> PoolTiming.tickMillis(mCore.active()),
+                        () -> mCore.nextTickAt() - mClock.now(),
                         this::tick,
                         this::afterBatch);
         mThreads = new WireThreads("wire", 1);
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -6,7 +6,6 @@
 import org.jackdawsaddle.internal.log.Event;
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
-import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.internal.pool.connection.PoolDialer;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarAction;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCore;
@@ -60,7 +59,7 @@
         mLoop =
                 new ControlLoop(
                         "control",
-                        () -> PoolTiming.tickMillis(mCore.active()),
+                        () -> mCore.nextTickAt() - mClock.now(),
                         () -> handle(new PoolSidecarEvent.Tick()),
                         this::afterBatch);
         mThreads = new WireThreads("wire", 1);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -68,6 +68,7 @@
                 mSidecars.onTick();
                 mPeers.onTick();
                 mJobs.onTick();
+                mState.mNextTickAt = mState.mNow + PoolTiming.IDLE_TICK_INTERVAL_MILLIS;
             }
             case PoolEntryEvent.LeaveRequested leave -> mState.mLeaving = true;
         }
@@ -79,6 +80,10 @@
         mWatches.update();
         mPeers.pushConfigurationToSidecars();
         mState.flushStops();
+        if (active()) {
+            mState.mNextTickAt =
+                    Math.min(mState.mNextTickAt, mState.mNow + PoolTiming.TICK_INTERVAL_MILLIS);
+        }
         List<PoolEntryAction> actions = List.copyOf(mState.mActions);
         mState.mActions.clear();
         return actions;
@@ -121,9 +126,16 @@
         return mState.mJobs.isEmpty();
     }
 
-    /** Returns whether the entry has jobs or watches sidecars. */
-    public boolean active() {
-        return !mState.mJobs.isEmpty() || mWatches.watching();
+    /** Returns when the next tick is due, in milliseconds since the epoch; 0 for at once. */
+    public long nextTickAt() {
+        return mState.mNextTickAt;
+    }
+
+    /** Returns whether the entry has jobs, watches sidecars or has placed runs. */
+    private boolean active() {
+        return !mState.mJobs.isEmpty()
+                || mWatches.watching()
+                || mState.mSidecars.values().stream().anyMatch(SidecarView::active);
     }
 
     /** Returns the configuration in force. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -51,12 +51,15 @@
     /** The time of the current event, in milliseconds since the epoch. */
     long mNow;
 
+    /** When the next tick is due, in milliseconds since the epoch; 0 for at once. */
+    long mNextTickAt;
+
     final ProcessTimeline mTimeline = new ProcessTimeline();
     final TaskDurations mDurations = new TaskDurations();
 
     void advanceTo(long now) {
         mNow = now;
-        mTimeline.advanceTo(now);
+        mTimeline.advanceTo(now, mNextTickAt);
     }
 
     void count(PoolEntryCounter counter) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -2,11 +2,14 @@
 
 /** Timeouts and intervals that entries and sidecars of a pool must agree on. */
 public final class PoolTiming {
-    /** The interval of the periodic timer of entries and sidecars that have work. */
+    /** The interval of the ticks of entries that have work; the shortest one of sidecars. */
     public static final long TICK_INTERVAL_MILLIS = 20;
 
-    /** The interval of the periodic timer of idle entries and sidecars. */
-    public static final long IDLE_TICK_INTERVAL_MILLIS = 100;
+    /**
+     * The interval of the ticks of idle entries. It is shorter than the delay after which callers
+     * send a job again, so that a pause of that length shows as a late tick.
+     */
+    public static final long IDLE_TICK_INTERVAL_MILLIS = 500;
 
     /**
      * The interval of heartbeats on an active connection: the entry watches the sidecar or has
@@ -32,7 +35,7 @@
     /** The shortest time between two reports of free capacity that no order has caused. */
     public static final long ROOM_INTERVAL_MILLIS = 50;
 
-    /** A longer gap between two events means that the process was paused or its clock jumped. */
+    /** A tick that is late by more means that the process was paused or its clock jumped. */
     public static final long PAUSE_THRESHOLD_MILLIS = 300;
 
     /** An entry places no new tasks on a sidecar that has sent nothing for this long. */
@@ -69,10 +72,5 @@
                 + LEASE_SLACK_MILLIS;
     }
 
-    /** Returns the interval of the periodic timer of an active or idle process. */
-    public static long tickMillis(boolean active) {
-        return active ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
-    }
-
     private PoolTiming() {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTimeline.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTimeline.java
@@ -30,10 +30,14 @@
     private long mPausedMillis;
 
     /**
-     * Records the time of an event, in milliseconds since the epoch; to be called at every event.
+     * Records the time of an event; to be called at every event.
+     *
+     * @param now in milliseconds since the epoch
+     * @param tickDueAt when the next tick is due, in milliseconds since the epoch
      */
-    void advanceTo(long now) {
-        if (mNow > 0 && now - mNow > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+    void advanceTo(long now, long tickDueAt) {
+        long expectedAt = Math.max(mNow, tickDueAt);
+        if (mNow > 0 && now - expectedAt > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
             mPausedMillis = Math.max(maxRequestAgeMillis(), now - mNow);
             mResumedAt = now;
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -238,8 +238,9 @@
      * message of each sidecar: messages may have arrived unread meanwhile.
      */
     private void discountOwnPause() {
-        long pauseMillis = mState.mNow - mLastTickAt;
-        if (mLastTickAt > 0 && pauseMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+        long lateMillis = mState.mNow - mState.mNextTickAt;
+        if (mLastTickAt > 0 && lateMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+            long pauseMillis = mState.mNow - mLastTickAt;
             mState.mSidecars
                     .values()
                     .forEach(sidecar -> sidecar.discountPause(pauseMillis, mState.mNow));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -38,10 +38,6 @@
         return mConnected;
     }
 
-    boolean watching() {
-        return mWatching;
-    }
-
     void onConnected(long now) {
         mConnected = true;
         mWatching = false;
@@ -85,16 +81,36 @@
      * @param ownsRuns whether the sidecar holds runs of the entry
      */
     boolean connectionTimedOut(boolean ownsRuns, long now) {
-        long timeout =
-                mWatching || ownsRuns
+        return mConnected && now > connectionTimeoutAt(ownsRuns);
+    }
+
+    private long connectionTimeoutAt(boolean ownsRuns) {
+        return mLastHeardAt
+                + (mWatching || ownsRuns
                         ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
-                        : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS;
-        return mConnected && now - mLastHeardAt > timeout;
+                        : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS);
     }
 
     /** Returns whether the entry was lost so long ago that its runs must end. */
     boolean reconnectTimedOut(long now) {
-        return !mConnected && now - mLostAt >= PoolTiming.RECONNECT_TIMEOUT_MILLIS;
+        return !mConnected && now >= reconnectTimeoutAt();
+    }
+
+    private long reconnectTimeoutAt() {
+        return mLostAt + PoolTiming.RECONNECT_TIMEOUT_MILLIS;
+    }
+
+    /**
+     * Returns when the next timeout or report is due if nothing happens until then, in milliseconds
+     * since the epoch.
+     *
+     * @param free the free capacity
+     * @param ownsRuns whether the sidecar holds runs of the entry
+     */
+    long nextDeadline(Demand free, boolean ownsRuns) {
+        return mConnected
+                ? Math.min(connectionTimeoutAt(ownsRuns) + 1, roomDueAt(free, ownsRuns))
+                : reconnectTimeoutAt();
     }
 
     /**
@@ -125,16 +141,17 @@
         return !mPendingReports.isEmpty()
                 || room.serving() != mReportedServing
                 || !room.orphanedJobs().equals(mReportedOrphans)
-                || now - mRoomSentAt >= roomInterval(room.free(), ownsRuns);
+                || now >= roomDueAt(room.free(), ownsRuns);
     }
 
-    /** Returns how long after the last report of the free capacity the next one is due. */
-    private long roomInterval(Demand free, boolean ownsRuns) {
+    /** Returns when the free capacity is due to be reported again. */
+    private long roomDueAt(Demand free, boolean ownsRuns) {
         if (mWatching && !free.equals(mReportedFree)) {
-            return PoolTiming.ROOM_INTERVAL_MILLIS;
+            return mRoomSentAt + PoolTiming.ROOM_INTERVAL_MILLIS;
         }
-        return mWatching || ownsRuns
-                ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
-                : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
+        return mRoomSentAt
+                + (mWatching || ownsRuns
+                        ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
+                        : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -50,6 +50,15 @@
         mListed = true;
     }
 
+    /**
+     * Returns when a stop is ordered again, in milliseconds since the epoch; {@code Long.MAX_VALUE}
+     * if none is requested, confirmed or still unanswered.
+     */
+    long stopDueAt() {
+        boolean unconfirmed = mConclusivePoll == Long.MAX_VALUE && !mStopInFlight;
+        return mState == State.STOPPING && unconfirmed ? mStopDueAt : Long.MAX_VALUE;
+    }
+
     String job() {
         return TaskNames.jobOf(mStartTask.run().task());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -52,6 +52,9 @@
 
     private boolean mLeaving;
 
+    /** When the last tick was, in milliseconds since the epoch; 0 before the first one. */
+    private long mLastTickAt;
+
     private long mNow;
 
     /**
@@ -182,17 +185,19 @@
             return;
         }
         TargetIncarnation target = mTarget.get();
-        boolean alreadySaved =
-                mSavedTarget
-                        .filter(target::sameIncarnation)
-                        .filter(saved -> saved.capacity().equals(target.capacity()))
-                        .isPresent();
-        if (!alreadySaved) {
+        if (!saved(target)) {
             mSaveDueAt = mNow + SAVE_RETRY_MILLIS;
             mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset()));
         }
     }
 
+    private boolean saved(TargetIncarnation target) {
+        return mSavedTarget
+                .filter(target::sameIncarnation)
+                .filter(saved -> saved.capacity().equals(target.capacity()))
+                .isPresent();
+    }
+
     /**
      * Returns whether an announcement is not newer than the known one: it was repeated, delayed in
      * transit or comes from an earlier incarnation.
@@ -300,7 +305,41 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns when the next tick is due: at the earliest deadline, in milliseconds since the epoch;
+     * 0 for at once.
+     */
+    public long nextTickAt() {
+        if (mLastTickAt == 0) {
+            return 0;
+        }
+        long latest = mLastTickAt + PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
+        long earliest = mLastTickAt + PoolTiming.TICK_INTERVAL_MILLIS;
+        return Math.clamp(nextDeadline(), earliest, latest);
+    }
+
+    private long nextDeadline() {
+        if (mTarget.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        Demand free = free();
+        Set<NodeId> owners = mRuns.owners();
+        long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(mTarget.get()));
+        for (Map.Entry<NodeId, EntryView> entry : mEntries.entrySet()) {
+            boolean ownsRuns = owners.contains(entry.getKey());
+            deadline = Math.min(deadline, entry.getValue().nextDeadline(free, ownsRuns));
+        }
+        return deadline;
+    }
+
+    /** Returns when the target's announcement times out or its incarnation must be saved. */
+    private long targetDeadline(TargetIncarnation target) {
+        long expiresAt = mNow < mAnnouncementExpiresAt ? mAnnouncementExpiresAt : Long.MAX_VALUE;
+        return saved(target) ? expiresAt : Math.min(expiresAt, mSaveDueAt);
+    }
+
     private void onTick() {
+        mLastTickAt = mNow;
         Set<NodeId> owners = mRuns.owners();
         mEntries.forEach((entry, view) -> {
             if (view.connectionTimedOut(owners.contains(entry), mNow)) {
@@ -325,11 +364,6 @@
         return view == null || view.reconnectTimedOut(mNow);
     }
 
-    /** Returns whether anything is left to learn from the target, or entries watch the sidecar. */
-    public boolean active() {
-        return mRuns.pollNeeded() || mEntries.values().stream().anyMatch(EntryView::watching);
-    }
-
     /**
      * Queues a report until the entry is connected; drops it if the entry is not known any more.
      */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -17,7 +17,6 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
-import org.jackdawsaddle.internal.pool.TaskNames;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
@@ -177,7 +176,7 @@
         for (HeldRun held : mHeldRuns.values()) {
             if (held.mState != HeldRun.State.STOPPING && owners.test(held.mOwner)) {
                 mCounter.accept(PoolSidecarCounter.RUNS_ORPHANED);
-                logStop(held.mStartTask.run(), "entry lost: " + held.mOwner);
+                RunLog.stopped(held.mStartTask.run(), "entry lost: " + held.mOwner);
                 stop(held);
             }
         }
@@ -211,7 +210,7 @@
             case OUTDATED -> onRefused(held, ReportKind.OUTDATED);
             case NO_ROOM -> onRefused(held, ReportKind.NO_ROOM);
             case FENCED, REFUSED, UNREACHABLE -> {
-                logRun(Event.RUN_REFUSED, run).with("reason", reply).write();
+                RunLog.line(Event.RUN_REFUSED, run).with("reason", reply).write();
                 onRefused(held, ReportKind.REJECTED);
             }
         }
@@ -234,7 +233,7 @@
         if (held.mListed) {
             onStarted(held);
         } else {
-            logRun(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
+            RunLog.line(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
             stop(held);
         }
     }
@@ -318,25 +317,13 @@
     /** Stops a run of an earlier sidecar process, or one that started after it counted as ended. */
     private void stopUnknownRun(Run run) {
         mCounter.accept(PoolSidecarCounter.RUNS_OF_OTHERS);
-        logStop(run, "not ordered here");
+        RunLog.stopped(run, "not ordered here");
         mActions.add(new PoolSidecarAction.StopRun(mTarget.orElseThrow(), run, mFencingToken));
     }
 
-    private static EventLog.Line logRun(Event event, Run run) {
-        return EventLog.line(event)
-                .with("job", TaskNames.jobOf(run.task()))
-                .with("task", run.task())
-                .with("run", run.run());
-    }
-
-    private static void logStop(Run run, String reason) {
-        logRun(Event.RUN_STOPPED, run).with("reason", reason).write();
-    }
-
     void onTick() {
         for (HeldRun held : mHeldRuns.values()) {
-            boolean unconfirmed = held.mConclusivePoll == Long.MAX_VALUE && !held.mStopInFlight;
-            if (held.mState == HeldRun.State.STOPPING && unconfirmed && mNow >= held.mStopDueAt) {
+            if (mNow >= held.stopDueAt()) {
                 sendStopOrder(held);
             }
         }
@@ -358,6 +345,19 @@
                         || !mLiveness.responsive());
     }
 
+    /**
+     * Returns when the next poll or the next attempt to stop a run is due if nothing happens until
+     * then, in milliseconds since the epoch; {@code Long.MAX_VALUE} for never. The expiry of a
+     * lease is no deadline of its own: it is concluded from unanswered polls, after each of which
+     * another one is due.
+     */
+    long nextDeadline() {
+        long pollDueAt = pollNeeded() && !mPollInFlight ? mPollDueAt : Long.MAX_VALUE;
+        return mHeldRuns.values().stream()
+                .mapToLong(HeldRun::stopDueAt)
+                .reduce(pollDueAt, Math::min);
+    }
+
     /** Requests a poll if one is needed and due. */
     void pollIfDue() {
         if (!pollNeeded() || mPollInFlight || mNow < mPollDueAt) {
