Exchange heartbeats on idle connections each 10 s in one wake-up, not each 2.5 s in two

Each of the 58 x 9 connections between sidecars and entries carried 0.8 messages a second while there was nothing to do, each of which wakes two threads of its receiver.

Cause: both ends sent a heartbeat each 2.5 s, at times of their own.

Change: an entry pings idle sidecars each 10 s, all in one tick; a sidecar answers such a ping with its free capacity in the same wake-up, and reports unasked only 12 s after its last report. The time-out of idle connections goes from 6 s to 25 s. What has work is as it was: a watched connection has heartbeats each 150 ms, a time-out of 600 ms, and tasks go only to sidecars heard of in the last 400 ms, so the longer silence cannot mislead placement. A sidecar with a newer configuration is pinged at once when it connects, where an entry that starts without the store had to wait for the first heartbeat.

Price: an entry that loses power without closing its connections and comes back is found by sidecars that it did not watch only at their next report, up to 12 s instead of 2.5 s later; those that it watched find it at once, as before.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -26,11 +26,14 @@
     /** A connection between entries without messages for this long is closed and opened again. */
     public static final long PEER_TIMEOUT_MILLIS = 2_000;
 
-    /** The interval of heartbeats on connections to sidecars that are not active. */
-    public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 2_500;
+    /** The interval of heartbeats to sidecars on connections that are not active. */
+    public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 10_000;
+
+    /** How long after its last report on an idle connection a sidecar reports unasked. */
+    public static final long IDLE_REPORT_INTERVAL_MILLIS = 12_000;
 
     /** The same as {@link #CONNECTION_TIMEOUT_MILLIS} for other connections. */
-    public static final long IDLE_CONNECTION_TIMEOUT_MILLIS = 6_000;
+    public static final long IDLE_CONNECTION_TIMEOUT_MILLIS = 25_000;
 
     /** The shortest time between two reports of free capacity that no order has caused. */
     public static final long ROOM_INTERVAL_MILLIS = 50;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -65,6 +65,10 @@
             mState.mMembersVersion++;
             otherIncarnations(sidecar.node()).forEach(other -> other.mConnected = false);
             mState.send(sidecar, new PoolMessage.Resume(List.copyOf(sidecar.mPlacedRuns.keySet())));
+            if (hello.configurationVersion() > mState.mConfiguration.version()) {
+                // The answer contains the newer configuration.
+                mState.ping(sidecar);
+            }
         }
         sidecar.onHeard(mState.mNow);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -55,8 +55,13 @@
         mLastHeardAt = now;
     }
 
-    void onPing(PoolMessage.Ping ping) {
-        if (ping.watching() && !mWatching) {
+    /**
+     * Handles a heartbeat. The next updates answer it with the free capacity if the entry watches
+     * from now on, or has not been sent any for long: one wake-up then serves both directions.
+     */
+    void onPing(PoolMessage.Ping ping, long now) {
+        boolean starts = ping.watching() && !mWatching;
+        if (starts || now - mRoomSentAt >= PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS / 2) {
             mRoomSentAt = 0;
         }
         mWatching = ping.watching();
@@ -152,6 +157,6 @@
         return mRoomSentAt
                 + (mWatching || ownsRuns
                         ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
-                        : PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS);
+                        : PoolTiming.IDLE_REPORT_INTERVAL_MILLIS);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -268,7 +268,7 @@
     }
 
     private void onPing(NodeId entry, EntryView view, PoolMessage.Ping ping) {
-        view.onPing(ping);
+        view.onPing(ping, mNow);
         if (mConfigurationPush.isPresent()
                 && ping.configurationVersion() < configurationVersion()) {
             mActions.add(new PoolSidecarAction.SendToEntry(entry, mConfigurationPush.get()));
@@ -313,7 +313,7 @@
         if (mLastTickAt == 0) {
             return 0;
         }
-        long latest = mLastTickAt + PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS;
+        long latest = mLastTickAt + PoolTiming.IDLE_REPORT_INTERVAL_MILLIS;
         long earliest = mLastTickAt + PoolTiming.TICK_INTERVAL_MILLIS;
         return Math.clamp(nextDeadline(), earliest, latest);
     }
