--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -65,6 +65,10 @@
             mState.mMembersVersion++;
             otherIncarnations(sidecar.node()).forEach(other -> other.mConnected = false);
             mState.send(sidecar, new PoolMessage.Resume(List.copyOf(sidecar.mPlacedRuns.keySet())));
+            if (hello.configurationVersion() > mState.mConfiguration.version()) {
+                // The answer contains the newer configuration.
+                mState.ping(sidecar);
+            }
         }
         sidecar.onHeard(mState.mNow);
     }
@@ -238,8 +242,9 @@
      * message of each sidecar: messages may have arrived unread meanwhile.
      */
     private void discountOwnPause() {
-        long pauseMillis = mState.mNow - mLastTickAt;
-        if (mLastTickAt > 0 && pauseMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+        long lateMillis = mState.mNow - mState.mNextTickAt;
+        if (mLastTickAt > 0 && lateMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+            long pauseMillis = mState.mNow - mLastTickAt;
             mState.mSidecars
                     .values()
                     .forEach(sidecar -> sidecar.discountPause(pauseMillis, mState.mNow));
