Forget peers that never connected once their records have expired

Seen: an entry whose record appeared in the store but whose connection never came about was kept for good, with a connection being tried again and again: only the loss of a connection removed a peer.

Evidence: MembershipControllerTest failed before: forgetsPeersThatNeverConnectedOnceTheirRecordsExpire expected [0] but found [100]. A connected peer whose record has expired is kept, as before.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
@@ -60,6 +60,7 @@
         }
         if (record.isEmpty()) {
             mState.mEntryRecords.remove(name);
+            forgetUnconnected(name);
             return;
         }
         mState.mEntryRecords.put(name, new Versioned<>(version, record.get()));
@@ -112,8 +113,7 @@
                         .filter(entry -> entry.value().node().equals(node))
                         .isPresent();
         if (!recorded) {
-            mState.mPeers.remove(node);
-            mState.mOutbox.disconnect(node);
+            forget(node);
         }
     }
 
@@ -184,12 +184,25 @@
         }
     }
 
+    /** Stops connecting to the peers of a name that has no record any more. */
+    private void forgetUnconnected(String name) {
+        mState.mPeers.entrySet().stream()
+                .filter(peer -> peer.getKey().name().equals(name))
+                .filter(peer -> !peer.getValue().mConnected)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::forget);
+    }
+
     private void dropOtherIncarnations(NodeId node) {
-        List<NodeId> others =
-                mState.mPeers.keySet().stream().filter(node::isOtherIncarnationOf).toList();
-        for (NodeId incarnation : others) {
-            mState.mPeers.remove(incarnation);
-            mState.mOutbox.disconnect(incarnation);
-        }
+        mState.mPeers.keySet().stream()
+                .filter(node::isOtherIncarnationOf)
+                .toList()
+                .forEach(this::forget);
+    }
+
+    private void forget(NodeId peer) {
+        mState.mPeers.remove(peer);
+        mState.mOutbox.disconnect(peer);
     }
 }
