Write no record of an entry again after it has left

Seen: an entry that leaves writes its record with a lease of 1 ms so that its peers need not wait; as soon as the store reported the expiry, it wrote the record again with the full lease of 10 s, and peers took it for a member until long after its process had ended.

Evidence: MembershipControllerTest.writesNoRecordAgainOnceItHasLeft failed before: "the record has expired as asked: lists don't have the same size expected [0] but found [1]".

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/MembershipControllerTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/MembershipControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -43,6 +44,17 @@
         assertEquals(mState.mPeers.keySet(), Set.of(PEER));
     }
 
+    @Test
+    public void writesNoRecordAgainOnceItHasLeft() {
+        mMembership.onOwnRecordWritten(Optional.of(5L));
+        mState.mLeaving = true;
+        mMembership.leave();
+        mState.mOutbox.drain();
+        mMembership.onEntryRecord(SELF.name(), 0, Optional.empty());
+        mMembership.onTick();
+        assertEquals(mState.mOutbox.drain(), List.of(), "the record has expired as asked");
+    }
+
     private static EntryRecord record(NodeId node) {
         return new EntryRecord(node, "127.0.0.1:1", "127.0.0.1:2", "here");
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
@@ -43,7 +43,7 @@
     /**
      * Handles the record of an entry that the store has delivered: connects to a new peer,
      * disconnects from other incarnations of it, and writes this entry's own record again if it has
-     * expired or is that of another incarnation.
+     * expired or is that of another incarnation, unless this entry is leaving.
      *
      * @param name the name of the entry
      * @param version the version of the record, 0 if there is none
@@ -53,7 +53,7 @@
         if (name.equals(mState.self().name())) {
             mRecordVersion = version;
             boolean foreign = record.isPresent() && !record.get().node().equals(mState.self());
-            if (record.isEmpty() || foreign) {
+            if ((record.isEmpty() || foreign) && !mState.mLeaving) {
                 mNextRenewalAt = mState.mNow;
             }
             return;
@@ -125,8 +125,7 @@
 
     /**
      * Lets this entry's record expire at once, by a lease of {@link #LEAVING_LEASE_MILLIS}, so that
-     * peers need not wait for the full lease. If the store reports the expiry while this process
-     * still runs, {@link #onEntryRecord} has the record written again.
+     * peers need not wait for the full lease.
      */
     void leave() {
         mNextRenewalAt = Long.MAX_VALUE;
