--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/MembershipController.java
@@ -43,7 +43,7 @@
     /**
      * Handles the record of an entry that the store has delivered: connects to a new peer,
      * disconnects from other incarnations of it, and writes this entry's own record again if it has
-     * expired or is that of another incarnation.
+     * expired or is that of another incarnation, unless this entry is leaving.
      *
      * @param name the name of the entry
      * @param version the version of the record, 0 if there is none
@@ -53,13 +53,14 @@
         if (name.equals(mState.self().name())) {
             mRecordVersion = version;
             boolean foreign = record.isPresent() && !record.get().node().equals(mState.self());
-            if (record.isEmpty() || foreign) {
+            if ((record.isEmpty() || foreign) && !mState.mLeaving) {
                 mNextRenewalAt = mState.mNow;
             }
             return;
         }
         if (record.isEmpty()) {
             mState.mEntryRecords.remove(name);
+            forgetUnconnected(name);
             return;
         }
         mState.mEntryRecords.put(name, new Versioned<>(version, record.get()));
@@ -112,8 +113,7 @@
                         .filter(entry -> entry.value().node().equals(node))
                         .isPresent();
         if (!recorded) {
-            mState.mPeers.remove(node);
-            mState.mOutbox.disconnect(node);
+            forget(node);
         }
     }
 
@@ -125,8 +125,7 @@
 
     /**
      * Lets this entry's record expire at once, by a lease of {@link #LEAVING_LEASE_MILLIS}, so that
-     * peers need not wait for the full lease. If the store reports the expiry while this process
-     * still runs, {@link #onEntryRecord} has the record written again.
+     * peers need not wait for the full lease.
      */
     void leave() {
         mNextRenewalAt = Long.MAX_VALUE;
@@ -184,12 +183,25 @@
         }
     }
 
+    /** Stops connecting to the peers of a name that has no record any more. */
+    private void forgetUnconnected(String name) {
+        mState.mPeers.entrySet().stream()
+                .filter(peer -> peer.getKey().name().equals(name))
+                .filter(peer -> !peer.getValue().mConnected)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::forget);
+    }
+
     private void dropOtherIncarnations(NodeId node) {
-        List<NodeId> others =
-                mState.mPeers.keySet().stream().filter(node::isOtherIncarnationOf).toList();
-        for (NodeId incarnation : others) {
-            mState.mPeers.remove(incarnation);
-            mState.mOutbox.disconnect(incarnation);
-        }
+        mState.mPeers.keySet().stream()
+                .filter(node::isOtherIncarnationOf)
+                .toList()
+                .forEach(this::forget);
+    }
+
+    private void forget(NodeId peer) {
+        mState.mPeers.remove(peer);
+        mState.mOutbox.disconnect(peer);
     }
 }
