Ping other entries once a second, not twice

With rare heartbeats of sidecars, most messages of an idle entry are pings of the other entries and their answers: on loopback with 8 of them 64 messages a second, 57 reads and 58 writes (strace, code before this).

Cause: pings each 500 ms on each of the two connections between two entries, with a time-out of 2 s.

Change: each 1,000 ms; the time-out stays 2 s. Price: an entry that stands still for more than 1 s, not 1.5 s, has its connections to other entries opened again.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/IdlePoolTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/IdlePoolTest.java
@@ -17,6 +17,9 @@
     /** In each direction one. */
     private static final double MAX_MESSAGES_PER_CONNECTION_AND_SECOND = 0.2;
 
+    /** As many answers come back. */
+    private static final double MAX_PINGS_PER_PEER_AND_SECOND = 1;
+
     /** One announcement of the target each second, and as many for everything else. */
     private static final double MAX_WAKE_UPS_PER_SIDECAR_AND_SECOND = 2;
 
@@ -49,6 +52,15 @@
         assertTrue(rate <= MAX_MESSAGES_PER_CONNECTION_AND_SECOND, "messages: " + rate);
     }
 
+    @Test
+    public void pingsOtherEntriesRarelyWithoutJobs() {
+        long before = mPool.mPeerMessageCount;
+        mPool.runUntil(mPool.mNow + MINUTE_MILLIS, () -> {});
+        double messages = mPool.mPeerMessageCount - before;
+        double rate = messages / (ENTRIES * (ENTRIES - 1) * (MINUTE_MILLIS / 1_000.0));
+        assertTrue(rate <= MAX_PINGS_PER_PEER_AND_SECOND, "pings: " + rate);
+    }
+
     @Test
     public void wakesUpRarelyWithoutJobs() {
         double sidecarRate = -wakeUpRate(mPool.mSidecars);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -59,6 +59,9 @@
     /** Number of messages between entries and sidecars, by type. */
     final Map<String, Long> mMessageCounts = new TreeMap<>();
 
+    /** Number of messages that entries have sent each other, without the answers. */
+    long mPeerMessageCount;
+
     private int mJobCount;
     private final List<String> mHistory = new ArrayList<>();
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -21,7 +21,7 @@
     public static final long CONNECTION_TIMEOUT_MILLIS = 600;
 
     /** The interval of heartbeats between entries. */
-    public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 500;
+    public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
     /** A connection between entries without messages for this long is closed and opened again. */
     public static final long PEER_TIMEOUT_MILLIS = 2_000;
