Bound the rate of control loop ticks that fail, and survive a failing deadline

What callers would see: an entry that uses a whole core, or one that reads requests and never answers.

Cause: ticks are due when the state machine says so. A tick that throws before it has set its next deadline is due again at once; an exception of the deadline itself ended the control thread, as it was asked for unguarded.

Change: at least 5 ms between ticks, also when the deadline cannot be determined; the exception is logged. Errors such as a lack of memory still end the thread: open.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,6 +19,9 @@
     private static final int MAX_BATCH = 256;
     private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
+    /** Bounds the rate of ticks that fail before they set their next deadline. */
+    private static final long MIN_TICK_INTERVAL_MILLIS = 5;
+
     private final LinkedBlockingQueue<Runnable> mQueue = new LinkedBlockingQueue<>();
     private final Runnable mTick;
     private final Runnable mAfterBatch;
@@ -29,8 +33,8 @@
      * Creates a loop.
      *
      * @param name the name of the thread
-     * @param tickMillis returns the longest time to the next tick, in milliseconds; called after
-     *     each batch of work
+     * @param tickMillis returns the longest time to the next tick, in milliseconds; zero or
+     *     negative if it is due. Called after each batch of work
      * @param tick runs at each tick, after the batch
      * @param afterBatch runs after each batch of work and each tick
      */
@@ -90,8 +94,11 @@
         }
     }
 
+    /** Returns the time to the next tick; the shortest one if it cannot be determined. */
     private long tickNanos() {
-        return TimeUnit.MILLISECONDS.toNanos(mTickMillis.getAsLong());
+        AtomicLong millis = new AtomicLong(MIN_TICK_INTERVAL_MILLIS);
+        runSafely(() -> millis.set(mTickMillis.getAsLong()));
+        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_TICK_INTERVAL_MILLIS, millis.get()));
     }
 
     /** Runs work on the current thread, and logs an exception that it throws. */
