Refuse, don't fail, a job that arrives while no target is known

What callers saw: an entry that had started and knew no sidecar yet answered jobs as failed for good, 'a task is larger than every target', after 3 s.

Cause: no target fits while none is known; the discovery time-out says only how long to wait.

Evidence: ShrunkTargetTest.refusesAJobWhileNoTargetIsKnown failed before: '[Failed[reason=a task is larger than every target]] expected [true] but found [false]'.

Change: such a job is refused (503 with Retry-After: nothing has run) unless targets of its service are known.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
@@ -79,6 +79,21 @@
         assertEquals(mOrderCount, 2);
     }
 
+    @Test
+    public void refusesAJobWhileNoTargetIsKnown() {
+        mCore = new PoolEntryCore("entry", 1_000, 1_300);
+        mCore.handle(
+                new PoolEntryEvent.ConfigurationRead(PoolShape.small(1, 1).configuration()), mNow);
+        submit("aa", 1);
+        for (int tick = 0; tick < 200; tick++) {
+            mNow += PoolTiming.TICK_INTERVAL_MILLIS;
+            mCore.handle(new PoolEntryEvent.Tick(), mNow);
+            collectActions();
+        }
+        assertEquals(mAnswers.size(), 1);
+        assertTrue(mAnswers.get(0) instanceof PoolAnswer.Refused, mAnswers.toString());
+    }
+
     private void advance(long millis) {
         for (long end = mNow + millis; mNow < end; ) {
             mNow += PoolTiming.HEARTBEAT_INTERVAL_MILLIS;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -218,7 +218,16 @@
             refuseIfTooLate(job);
         } else if (mState.mNow - job.mArrivedAt >= DISCOVERY_TIMEOUT_MILLIS
                 && !mState.mTimeline.discovering()) {
+            endAsTooLarge(job);
+        }
+    }
+
+    /** Fails a job for good only if targets are known that are too small for it. */
+    private void endAsTooLarge(ActiveJob job) {
+        if (mAdmission.knowsTargetOf(job)) {
             end(job, new PoolAnswer.Failed("a task is larger than every target"));
+        } else {
+            endUnfinished(job, "no target is known");
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -59,6 +59,13 @@
                                 .anyMatch(sidecar -> Placement.couldRun(job, step, sidecar)));
     }
 
+    /** Returns whether any target of a job's service is known. */
+    boolean knowsTargetOf(ActiveJob job) {
+        String service = job.mQueue.service();
+        return mState.mSidecars.values().stream()
+                .anyMatch(sidecar -> sidecar.mHello.service().equals(service));
+    }
+
     /**
      * Returns this entry's share of the cores of all serving targets; it is equal for this entry
      * and each connected one.
