Take a call to the target that fails unexpectedly as unanswered

What callers would see: a sidecar that serves nothing until its target starts again.

Cause: the control loop waits for the answer to each order and poll, and none came if the call threw (an address that is no address) or its future failed; the actions after it in the batch were lost as well.

Change: each action is performed by itself; a failed call is logged and counts as unanswered, so that the run keeps its capacity and is stopped.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/platform/ConcurrencyLimiterTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/ConcurrencyLimiterTest.java
@@ -32,4 +32,15 @@
         assertEquals(started.size(), 4);
         assertTrue(results.get(0).isCompletedExceptionally());
     }
+
+    @Test
+    public void goesOnAfterACallThatThrows() {
+        ConcurrencyLimiter limiter = new ConcurrencyLimiter(1);
+        CompletableFuture<String> thrown =
+                limiter.run(() -> {
+                    throw new IllegalArgumentException("expected by the test");
+                });
+        assertTrue(thrown.isCompletedExceptionally());
+        assertTrue(limiter.run(() -> CompletableFuture.completedFuture("made")).isDone());
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -3,6 +3,11 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.internal.log.Event;
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
@@ -18,7 +23,9 @@
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.WireThreads;
 import org.jackdawsaddle.pool.PoolSidecarConfig;
+import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway;
+import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.jackdawsaddle.pool.TargetStore;
 
@@ -29,6 +36,8 @@
  * <p>Thread-safe.
  */
 public final class PoolSidecarService implements ManagedService {
+    private static final Logger LOG = LogManager.getLogger(PoolSidecarService.class);
+
     private final UnixClock mClock;
     private final TargetGateway mGateway;
     private final TargetStore mStore;
@@ -140,7 +149,7 @@
      * read.
      */
     private void afterBatch() {
-        mCore.actions().forEach(this::perform);
+        mCore.actions().forEach(action -> ControlLoop.runSafely(() -> perform(action)));
         mDialer.flush();
         mServing = mCore.serving();
         mIdle = mCore.idle();
@@ -150,49 +159,80 @@
         switch (action) {
             case PoolSidecarAction.SendToEntry send -> mDialer.send(send.entry(), send.message());
             case PoolSidecarAction.SaveTarget save ->
-                    mStore.save(save.target())
+                    call(() -> mStore.save(save.target()), false)
                             .thenAccept(saved ->
                                     post(new PoolSidecarEvent.TargetSaved(save.target(), saved)));
             case PoolSidecarAction.DisconnectEntry disconnect ->
                     mDialer.disconnect(disconnect.entry());
             case PoolSidecarAction.StartRun start -> sendStartOrder(start);
-            case PoolSidecarAction.StopRun stop ->
-                    mGateway.stop(
-                                    stop.target(),
-                                    stop.run().task(),
-                                    stop.run().run(),
-                                    stop.fencingToken())
-                            .thenAccept(confirmed ->
-                                    post(new PoolSidecarEvent.StopAnswered(stop.run(), confirmed)));
-            case PoolSidecarAction.Poll poll ->
-                    mGateway.poll(
-                                    poll.target(),
-                                    poll.leaseUntil(),
-                                    poll.ackCursor(),
-                                    poll.waitMillis(),
-                                    poll.fencingToken())
-                            .thenAccept(snapshot ->
-                                    post(
-                                            new PoolSidecarEvent.PollAnswered(
-                                                    poll.target(), poll.number(), snapshot)));
+            case PoolSidecarAction.StopRun stop -> sendStopOrder(stop);
+            case PoolSidecarAction.Poll poll -> sendPoll(poll);
         }
     }
 
+    private void sendStopOrder(PoolSidecarAction.StopRun stop) {
+        call(
+                        () ->
+                                mGateway.stop(
+                                        stop.target(),
+                                        stop.run().task(),
+                                        stop.run().run(),
+                                        stop.fencingToken()),
+                        false)
+                .thenAccept(confirmed ->
+                        post(new PoolSidecarEvent.StopAnswered(stop.run(), confirmed)));
+    }
+
+    private void sendPoll(PoolSidecarAction.Poll poll) {
+        call(
+                        () ->
+                                mGateway.poll(
+                                        poll.target(),
+                                        poll.leaseUntil(),
+                                        poll.ackCursor(),
+                                        poll.waitMillis(),
+                                        poll.fencingToken()),
+                        Optional.<RunSnapshot>empty())
+                .thenAccept(snapshot ->
+                        post(
+                                new PoolSidecarEvent.PollAnswered(
+                                        poll.target(), poll.number(), snapshot)));
+    }
+
     private void sendStartOrder(PoolSidecarAction.StartRun start) {
         long sentAt = System.nanoTime();
-        mGateway.start(
-                        start.target(),
-                        start.run().task(),
-                        start.run().run(),
-                        start.payload(),
-                        start.leaseUntil(),
-                        start.fencingToken())
+        call(
+                        () ->
+                                mGateway.start(
+                                        start.target(),
+                                        start.run().task(),
+                                        start.run().run(),
+                                        start.payload(),
+                                        start.leaseUntil(),
+                                        start.fencingToken()),
+                        StartReply.UNANSWERED)
                 .thenAccept(reply -> {
                     mStartTimes.observeSince(sentAt, reply.name().toLowerCase(Locale.ROOT));
                     post(new PoolSidecarEvent.StartAnswered(start.run(), reply));
                 });
     }
 
+    /**
+     * Makes a call whose future always completes with a value: the core waits for the answer to
+     * each action.
+     *
+     * @param unanswered the value if the call, or its future, fails
+     */
+    private static <T> CompletableFuture<T> call(
+            Supplier<CompletableFuture<T>> call, T unanswered) {
+        return CompletableFuture.completedFuture(call)
+                .thenCompose(Supplier::get)
+                .exceptionally(failure -> {
+                    LOG.error("Unexpected failure of a call; taking it as unanswered", failure);
+                    return unanswered;
+                });
+    }
+
     private final class DialerListener implements PoolDialer.Listener {
         @Override
         public void connected(NodeId entry) {
