Keep an inquiry about running tasks with the sidecar's connection

Seen: RecoveryController kept each inquiry about running tasks whose answer never came, for good; and an answer to an inquiry from before a reconnection was still applied, so that a task counted as not started by what a sidecar had said earlier.

Change: the one open inquiry is part of what the entry knows of the sidecar; the next one replaces it, and it goes with the sidecar.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/dispatch/EntryCoreTestBase.java
@@ -43,6 +43,7 @@
     final Map<NodeId, List<StartTask>> mStarts = new LinkedHashMap<>();
 
     final List<TaskKey> mStops = new ArrayList<>();
+    final List<EntryMessage.Inquiry> mInquiries = new ArrayList<>();
     final Random mRandom = new Random(1);
     EntryCore mCore;
     int mStopMessageCount;
@@ -55,6 +56,7 @@
         mAnswers.clear();
         mStarts.clear();
         mStops.clear();
+        mInquiries.clear();
         mStopMessageCount = 0;
         EntryRecord record = new EntryRecord(SELF, "127.0.0.1:1", "127.0.0.1:2", "here");
         mCore = new EntryCore(record, new Layout(1), QueueOrder.FIRST_COME, mRandom);
@@ -201,6 +203,7 @@
             case EntryMessage.StartTasks start ->
                     mStarts.computeIfAbsent(sidecar, key -> new ArrayList<>())
                             .addAll(start.tasks());
+            case EntryMessage.Inquiry inquiry -> mInquiries.add(inquiry);
             case EntryMessage.StopTasks stop -> {
                 mStopMessageCount++;
                 mStops.addAll(stop.tasks());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/EntryCore.java
@@ -298,7 +298,10 @@
                         yield true;
                     }
                     case SidecarMessage.InquiryAnswer answer -> {
-                        mResults.onResults(partition, sidecar, mRecovery.resultsOfRunning(answer));
+                        mResults.onResults(
+                                partition,
+                                sidecar,
+                                RecoveryController.resultsOfRunning(sidecar, answer));
                         mRecovery.onAnswer(partition, sidecar, answer, mDispatch::admit);
                         yield true;
                     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/RecoveryController.java
@@ -1,11 +1,11 @@
 package org.jackdawsaddle.internal.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.jackdawsaddle.NodeId;
@@ -48,9 +48,6 @@
     /** The inquiries about in-doubt jobs, by number. */
     private final Map<Long, OpenInquiry> mOpenInquiries = new LinkedHashMap<>();
 
-    /** The running tasks asked about after a reconnection, by number of the inquiry. */
-    private final Map<Long, List<TaskKey>> mRunningTasksAsked = new HashMap<>();
-
     private long mLastInquiryNumber;
 
     RecoveryController(EntryState state, JobEnder ender) {
@@ -80,7 +77,10 @@
                 sidecar.mRunning.keySet().stream().map(TaskKey::id).distinct().toList();
         if (!ids.isEmpty()) {
             mLastInquiryNumber++;
-            mRunningTasksAsked.put(mLastInquiryNumber, List.copyOf(sidecar.mRunning.keySet()));
+            sidecar.mRunningInquiry =
+                    Optional.of(
+                            new RunningInquiry(
+                                    mLastInquiryNumber, List.copyOf(sidecar.mRunning.keySet())));
             mState.mOutbox.sendToSidecar(
                     sidecar.node(),
                     new Inquiry(partition.mIndex, partition.mEpoch, mLastInquiryNumber, ids));
@@ -275,16 +275,20 @@
      * A task that is not on record at the sidecar counts as refused: its start was not received.
      *
      * @return one result per task asked about, or an empty list if the inquiry was about in-doubt
-     *     jobs
+     *     jobs, or was sent on an earlier connection
      */
-    List<TaskResult> resultsOfRunning(InquiryAnswer answer) {
-        List<TaskKey> asked = mRunningTasksAsked.remove(answer.number());
-        if (asked == null) {
+    static List<TaskResult> resultsOfRunning(SidecarView sidecar, InquiryAnswer answer) {
+        Optional<RunningInquiry> inquiry =
+                sidecar.mRunningInquiry.filter(open -> open.number() == answer.number());
+        if (inquiry.isEmpty()) {
             return List.of();
         }
+        sidecar.mRunningInquiry = Optional.empty();
         Map<TaskKey, TaskResult> results = new LinkedHashMap<>();
-        asked.forEach(
-                key -> results.put(key, TaskResult.refused(key, TaskResult.Refusal.NOT_RECEIVED)));
+        inquiry.get()
+                .tasks()
+                .forEach(key ->
+                        results.put(key, TaskResult.refused(key, TaskResult.Refusal.NOT_RECEIVED)));
         answer.known().forEach(known -> results.computeIfPresent(known.task(), (k, r) -> known));
         return List.copyOf(results.values());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/dispatch/SidecarView.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.SidecarMessage.SidecarHello;
@@ -45,6 +46,9 @@
      */
     long mBackoffUntil;
 
+    /** The inquiry about its running tasks that it has not answered. */
+    Optional<RunningInquiry> mRunningInquiry = Optional.empty();
+
     final TargetSpeed mSpeed = new TargetSpeed();
 
     /** The total demand of the running tasks. */
