--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -264,16 +264,13 @@
             return;
         }
         mPollInFlight = false;
-        if (answer.isEmpty()) {
+        if (answer.filter(snapshot -> snapshot.isOf(target)).isEmpty()) {
             mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
             mLiveness.recordUnanswered(target);
             mPollDueAt = mNow + POLL_RETRY_MILLIS;
             return;
         }
         RunSnapshot snapshot = answer.get();
-        if (snapshot.startedAt() != 0 && snapshot.startedAt() != target.startedAt()) {
-            return;
-        }
         mLiveness.recordAnswered(snapshot.clock());
         snapshot.ended().forEach(this::onEnded);
         List<Run> running =
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/RunSnapshot.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/RunSnapshot.java
@@ -19,6 +19,11 @@
         ended = List.copyOf(ended);
     }
 
+    /** Returns whether the incarnation has answered itself, as far as the target tells. */
+    public boolean isOf(TargetIncarnation target) {
+        return startedAt == 0 || startedAt == target.startedAt();
+    }
+
     /**
      * A run that has not ended.
      *
