Send a stop later if its sidecar is disconnected

Seen: the stop of a run of a job that had ended (cancelled, failed, expired) while the connection to its sidecar was broken was lost. The run went on after the reconnection to its own end, in capacity that other tasks waited for, and the job, sent again, waited for that end.

Evidence: PoolEntryStateTest failed before: "lists don't have the same size expected [1] but found [0]".

Change: queued stops of a disconnected sidecar stay queued until it is connected again, or forgotten once its runs have certainly ended. A sidecar ignores a stop of a run that it doesn't hold.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -82,21 +82,24 @@
 
     /**
      * Queues a stop of a run, which keeps its capacity until the sidecar reports its end. The stop
-     * is not repeated, and is dropped if the sidecar is not connected.
+     * is not repeated; it waits while the sidecar is not connected.
      */
     void requestStop(SidecarView sidecar, PlacedRun placed) {
         placed.mStopRequested = true;
         mPendingStops.computeIfAbsent(sidecar.node(), node -> new ArrayList<>()).add(placed.mRun);
     }
 
-    /** Turns the queued stops into one message for each sidecar. */
+    /** Turns the queued stops into one message for each connected sidecar. */
     void flushStops() {
-        mPendingStops.forEach((node, runs) -> {
-            SidecarView sidecar = mSidecars.get(node);
-            if (sidecar != null) {
-                send(sidecar, new PoolMessage.Stop(List.copyOf(runs)));
-            }
-        });
-        mPendingStops.clear();
+        mPendingStops.keySet().retainAll(mSidecars.keySet());
+        mPendingStops
+                .entrySet()
+                .removeIf(stops -> {
+                    SidecarView sidecar = mSidecars.get(stops.getKey());
+                    if (sidecar.mConnected) {
+                        send(sidecar, new PoolMessage.Stop(List.copyOf(stops.getValue())));
+                    }
+                    return sidecar.mConnected;
+                });
     }
 }
