Count a job that was sent before as late from its first request

Seen: `explain` called a job in time whose caller had sent it before to another entry: it compared only the time since the last arrival with the objective and ignored sent_before_ms.

Evidence: JobTimelineTest.aJobSentBeforeIsLateByTheTimeSinceItsFirstRequest failed before: "expected [LATE] but found [IN_TIME]".

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/explain/JobTimelineTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/explain/JobTimelineTest.java
@@ -47,6 +47,14 @@
         assertTrue(timeline.text().get(3).contains("1 x runs-lost"), timeline.text().toString());
     }
 
+    @Test
+    public void aJobSentBeforeIsLateByTheTimeSinceItsFirstRequest() {
+        String line = JOB_ENDED_LINE.replace("\"wanted_ms\":\"200\"", "\"wanted_ms\":\"1000\"");
+        assertEquals(timeline("entry-7 " + line).verdict(), JobTimeline.Verdict.IN_TIME);
+        String resent = line.replace("\"ms\":\"500\"", "\"ms\":\"500\",\"sent_before_ms\":\"600\"");
+        assertEquals(timeline("entry-7 " + resent).verdict(), JobTimeline.Verdict.LATE);
+    }
+
     @Test
     public void wordBeforeALineNamesItsProcess() {
         JobTimeline timeline = timeline("12.3 entry-7 " + JOB_ENDED_LINE);
--- a/jackdawsaddle/src/org/jackdawsaddle/explain/JobTimeline.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/explain/JobTimeline.java
@@ -23,8 +23,8 @@
         /** The job succeeded within its response time objective, or no objective was logged. */
         IN_TIME,
         /**
-         * The job succeeded, but its response time, counted from its arrival at the entry that
-         * answered, exceeded its objective.
+         * The job succeeded, but its response time, counted from its first request as far as the
+         * entry that answered could tell, exceeded its objective.
          */
         LATE,
         /** A task failed as often as its queue allows, or the job could never run. */
@@ -151,9 +151,12 @@
 
     private static boolean isLate(LogLine answer) {
         Optional<String> objectiveMillis = answer.field("wanted_ms");
+        long sentBeforeMillis =
+                answer.field("sent_before_ms").map(JobTimeline::parseMillis).orElse(0L);
         return objectiveMillis.isPresent()
                 && answer.field("ms")
-                        .filter(ms -> parseMillis(ms) > parseMillis(objectiveMillis.get()))
+                        .map(ms -> parseMillis(ms) + sentBeforeMillis)
+                        .filter(millis -> millis > parseMillis(objectiveMillis.get()))
                         .isPresent();
     }
 
