Run the decisions of a pool's processes on the I/O thread of their connections

About half of the system calls of a message between entry and sidecar were made only to hand it from the I/O thread to the control thread and the answer back: a futex wake and two futex waits there, a write to and a read from the event descriptor and one more epoll here.

Change: WireControlLoop runs the control state on the event loop of the connections, in batches of all messages that were read together, and its ticks as timers of that loop. There is no control thread in pool processes any more; partitions keep ControlLoop, as their entries have several I/O threads.

Thread hops are not covered by a test.

--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -15,11 +15,11 @@
 import org.jackdawsaddle.internal.pool.PoolEntryEvent;
 import org.jackdawsaddle.internal.pool.connection.PoolAcceptor;
 import org.jackdawsaddle.internal.pool.connection.PoolDialer;
-import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.LatencyHistogram;
 import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireControlLoop;
 import org.jackdawsaddle.internal.wire.WireThreads;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.jackdawsaddle.pool.PoolConfiguration;
@@ -57,7 +57,7 @@
 
     private final NodeId mSelf;
     private final PoolEntryCore mCore;
-    private final ControlLoop mLoop;
+    private final WireControlLoop mLoop;
     private final WireThreads mThreads;
     private final PoolAcceptor mAcceptor;
     private final PoolDialer mDialer;
@@ -78,13 +78,13 @@
         mClock = clock;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
         mCore = new PoolEntryCore(config.name(), config.leaseMillis(), config.resendMillis());
+        mThreads = new WireThreads("wire", 1);
         mLoop =
-                new ControlLoop(
-                        "control",
+                new WireControlLoop(
+                        mThreads,
                         () -> mCore.nextTickAt() - mClock.now(),
                         this::tick,
                         this::afterBatch);
-        mThreads = new WireThreads("wire", 1);
         mAcceptor =
                 new PoolAcceptor(
                         mSelf, config.address(), mLoop, new AcceptorListener(), mThreads, mCounts);
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -11,11 +11,11 @@
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCore;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCounter;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarEvent;
-import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.LatencyHistogram;
 import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.internal.wire.MessageCounts;
+import org.jackdawsaddle.internal.wire.WireControlLoop;
 import org.jackdawsaddle.internal.wire.WireThreads;
 import org.jackdawsaddle.pool.PoolSidecarConfig;
 import org.jackdawsaddle.pool.TargetGateway;
@@ -38,7 +38,7 @@
     private final MessageCounts mCounts = new MessageCounts();
     private final NodeId mSelf;
     private final PoolSidecarCore mCore;
-    private final ControlLoop mLoop;
+    private final WireControlLoop mLoop;
     private final WireThreads mThreads;
     private final PoolDialer mDialer;
     private volatile boolean mServing;
@@ -56,13 +56,13 @@
         mStore = store;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
         mCore = new PoolSidecarCore(mSelf, config.dataCentre(), clock.now(), config.leaseMillis());
+        mThreads = new WireThreads("wire", 1);
         mLoop =
-                new ControlLoop(
-                        "control",
+                new WireControlLoop(
+                        mThreads,
                         () -> mCore.nextTickAt() - mClock.now(),
                         () -> handle(new PoolSidecarEvent.Tick()),
                         this::afterBatch);
-        mThreads = new WireThreads("wire", 1);
         mDialer =
                 new PoolDialer("", config.seeds(), mLoop, new DialerListener(), mThreads, mCounts);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
@@ -7,12 +7,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArraySet;
+import java.util.concurrent.Executor;
 import org.jackdawsaddle.ManagedService;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.runtime.Addresses;
-import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.NodeChannels;
 import org.jackdawsaddle.internal.wire.WireChannel;
@@ -57,7 +57,7 @@
     }
 
     private final NodeId mSelf;
-    private final ControlLoop mLoop;
+    private final Executor mLoop;
     private final Listener mListener;
     private final WireServer mServer;
 
@@ -78,7 +78,7 @@
     public PoolAcceptor(
             NodeId self,
             String address,
-            ControlLoop loop,
+            Executor loop,
             Listener listener,
             WireThreads threads,
             MessageCounts counts) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolDialer.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolDialer.java
@@ -1,11 +1,11 @@
 package org.jackdawsaddle.internal.pool.connection;
 
 import java.util.List;
+import java.util.concurrent.Executor;
 import org.jackdawsaddle.ManagedService;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.PoolMessage;
-import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.wire.AddressConnectors;
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.NodeChannels;
@@ -44,7 +44,7 @@
 
     private final String mOwnAddress;
     private final List<String> mSeeds;
-    private final ControlLoop mLoop;
+    private final Executor mLoop;
     private final Listener mListener;
     private final AddressConnectors mConnectors;
     private final NodeChannels mEntryChannels = new NodeChannels();
@@ -59,7 +59,7 @@
     public PoolDialer(
             String ownAddress,
             List<String> seeds,
-            ControlLoop loop,
+            Executor loop,
             Listener listener,
             WireThreads threads,
             MessageCounts counts) {
