Take back that a stopping entry stays open while requests arrive

Undoes: under load the entries then stay to the end of the grace period, and more of them are away at once.

EntryShutdownTest keeps the grace period of 6 s: at 4.2 s a job of 0.2 s, sent 0.4 s before the work deadline, got 504 instead of 200 once at a load of 30 on 8 cores.

Measured: EntryShutdownTest, PoolEntryCoreTest, HttpExchangesTest and SettingsWatcherTest pass.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/HttpServer.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/HttpServer.java
@@ -75,11 +75,6 @@
         return mTracker.requestsInProgress() == 0;
     }
 
-    /** Returns how long no request has arrived, in milliseconds. */
-    public long quietMillis() {
-        return mTracker.quietMillis();
-    }
-
     @Override
     public void stop() {
         refuseRequests();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/RequestTracker.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/RequestTracker.java
@@ -18,9 +18,6 @@
     private int mRequestsInProgress;
     private boolean mRefusing;
 
-    /** When the head of the latest request was read, as {@link System#nanoTime}. */
-    private long mLastRequestNanos = System.nanoTime();
-
     /**
      * Creates a tracker.
      *
@@ -39,11 +36,6 @@
         return mRequestsInProgress;
     }
 
-    /** Returns how long no request has arrived, in milliseconds. */
-    synchronized long quietMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mLastRequestNanos);
-    }
-
     /**
      * Waits until no request is in progress. Returns early, with the interrupt status set, if the
      * thread is interrupted.
@@ -85,7 +77,6 @@
 
     private synchronized boolean begin() {
         mRequestsInProgress++;
-        mLastRequestNanos = System.nanoTime();
         return mRefusing;
     }
 
