Give both control loops the same floor between ticks

TickDelay decides the delay for both; WireControlLoopTest.goesOnWhenTheNextDeadlineCannotBeDetermined covers it.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireControlLoopTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireControlLoopTest.java
@@ -74,4 +74,21 @@
         Thread.sleep(2 * TICK_MILLIS);
         assertEquals(mTickCount.get(), ticks);
     }
+
+    @Test
+    public void goesOnWhenTheNextDeadlineCannotBeDetermined() throws Exception {
+        AtomicInteger ticks = new AtomicInteger();
+        WireControlLoop loop =
+                new WireControlLoop(
+                        mThreads,
+                        () -> {
+                            throw new IllegalStateException("thrown by the test");
+                        },
+                        ticks::incrementAndGet,
+                        () -> {});
+        loop.start();
+        Thread.sleep(WATCH_MILLIS);
+        loop.stop();
+        assertTrue(ticks.get() > 1, "ticks: " + ticks);
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -15,6 +15,7 @@
 import org.jackdawsaddle.internal.pool.PoolEntryEvent;
 import org.jackdawsaddle.internal.pool.connection.PoolAcceptor;
 import org.jackdawsaddle.internal.pool.connection.PoolDialer;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.LatencyHistogram;
 import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 import org.jackdawsaddle.internal.runtime.UnixClock;
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -16,6 +16,7 @@
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCore;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCounter;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarEvent;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
 import org.jackdawsaddle.internal.runtime.LatencyHistogram;
 import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 import org.jackdawsaddle.internal.runtime.UnixClock;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/runtime/ControlLoop.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,9 +18,6 @@
     private static final int MAX_BATCH = 256;
     private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
-    /** Bounds the rate of ticks that fail before they set their next deadline. */
-    private static final long MIN_TICK_INTERVAL_MILLIS = 5;
-
     private final LinkedBlockingQueue<Runnable> mQueue = new LinkedBlockingQueue<>();
     private final Runnable mTick;
     private final Runnable mAfterBatch;
@@ -90,17 +86,11 @@
                 nextTickNanos = Long.MAX_VALUE;
             }
             runSafely(mAfterBatch);
-            nextTickNanos = Math.min(nextTickNanos, System.nanoTime() + tickNanos());
+            nextTickNanos =
+                    Math.min(nextTickNanos, System.nanoTime() + TickDelay.nanos(mTickMillis));
         }
     }
 
-    /** Returns the time to the next tick; the shortest one if it cannot be determined. */
-    private long tickNanos() {
-        AtomicLong millis = new AtomicLong(MIN_TICK_INTERVAL_MILLIS);
-        runSafely(() -> millis.set(mTickMillis.getAsLong()));
-        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_TICK_INTERVAL_MILLIS, millis.get()));
-    }
-
     /** Runs work on the current thread, and logs an exception that it throws. */
     public static void runSafely(Runnable work) {
         try {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireControlLoop.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireControlLoop.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.runtime.TickDelay;
 
 /**
  * Confines the control state of a process to the thread that serves its connections, so that a
@@ -18,7 +18,6 @@
  * are read together forms one batch.
  */
 public final class WireControlLoop implements Executor, ManagedService {
-    private static final Logger LOG = LogManager.getLogger(WireControlLoop.class);
     private static final int MAX_BATCH = 256;
     private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
@@ -40,8 +39,8 @@
      * Creates a loop.
      *
      * @param threads serve the connections; the work runs on one of them
-     * @param tickMillis returns the longest time to the next tick, in milliseconds; called after
-     *     each batch of work
+     * @param tickMillis returns the longest time to the next tick, in milliseconds; zero or
+     *     negative if it is due. Called after each batch of work
      * @param tick runs at each tick, after the batch
      * @param afterBatch runs after each batch of work and each tick
      */
@@ -88,9 +87,9 @@
         runQueued();
         if (System.nanoTime() - mTickDueNanos >= 0) {
             cancelTimer();
-            runSafely(mTick);
+            ControlLoop.runSafely(mTick);
         }
-        runSafely(mAfterBatch);
+        ControlLoop.runSafely(mAfterBatch);
         scheduleTick();
     }
 
@@ -100,13 +99,13 @@
             if (work == null) {
                 return;
             }
-            runSafely(work);
+            ControlLoop.runSafely(work);
         }
         scheduleBatch();
     }
 
     private void scheduleTick() {
-        long delayNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, mTickMillis.getAsLong()));
+        long delayNanos = TickDelay.nanos(mTickMillis);
         long dueNanos = System.nanoTime() + delayNanos;
         if (mTickTimer == null || dueNanos - mTickDueNanos < 0) {
             cancelTimer();
@@ -121,14 +120,4 @@
             mTickTimer = null;
         }
     }
-
-    private static void runSafely(Runnable work) {
-        try {
-            work.run();
-        } catch (RuntimeException e) {
-            LOG.error(
-                    "Unexpected exception on the control thread; skipping the rest of this work",
-                    e);
-        }
-    }
 }
