Tell a crash of a target apart, and give up a task at its second crash

Cause: a run that was lost with its target was requeued without a count, and so went from target to target; its loss was noticed after 0.64 s.

Change: two polls in a row that reach no process mean a crash. The sidecar reports the runs as CRASHED to every entry, also to later ones, and starts these tasks no more. A task with two crashes fails its job, and its queue is confined to a part of the targets.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -56,6 +56,8 @@
 
     int mSucceededJobCount;
 
+    final DeadlyTasks mDeadlyTasks = new DeadlyTasks();
+
     /** Number of messages between entries and sidecars, by type. */
     final Map<String, Long> mMessageCounts = new TreeMap<>();
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.jackdawsaddle.pool.PoolAnswer;
+import org.jackdawsaddle.pool.PoolJob;
 
 /**
  * Callers that submit jobs of several kinds to the entries of a {@link PoolSimulation} at random
@@ -28,6 +29,9 @@
 
     private static final int USEFUL_MULTIPLE = 3;
 
+    /** How often the caller of a job that crashes workers sends it. */
+    private static final int MAX_ATTEMPTS = 4;
+
     /** How the jobs are divided among the entries, in turn; callers stay with their entry. */
     private static final double[] ENTRY_WEIGHTS = {1.0, 1.5, 0.5, 1.2, 0.8};
 
@@ -78,6 +82,14 @@
     private int mJobCount;
     private int mTaskCount;
 
+    /** The share of the jobs of the kind {@link #mDeadlyKind} with a task that crashes workers. */
+    double mDeadlyShare;
+
+    String mDeadlyKind = "";
+
+    /** Until when jobs with such a task are submitted, in milliseconds since the epoch. */
+    long mDeadlyUntil;
+
     /** Multiplies the arrival rates of all kinds. */
     double mRateFactor = 1;
 
@@ -121,6 +133,12 @@
         long submittedAt = mSimulation.mNow;
         SimulatedJobKind.Drawn drawn = kind.draw(id, mSimulation.mRandom, submittedAt);
         mTaskCount += drawn.job().steps().get(0).tasks();
+        if (kind.name().equals(mDeadlyKind)
+                && submittedAt < mDeadlyUntil
+                && mSimulation.mRandom.nextDouble() < mDeadlyShare) {
+            submitDeadly(drawn.job(), MAX_ATTEMPTS);
+            return;
+        }
         boolean[] answered = {false};
         mSimulation.at(
                 drawn.job().deadline() + 1,
@@ -144,6 +162,29 @@
                         });
     }
 
+    /**
+     * Submits a job with a task that crashes workers, whose outcome is not recorded. Its caller
+     * sends it again, to any entry, while it gets no answer or an abandoned one.
+     */
+    private void submitDeadly(PoolJob job, int attempts) {
+        boolean[] answered = {false};
+        PoolJob deadly =
+                new PoolJob(
+                        job.id(),
+                        job.queue(),
+                        job.payload() + DeadlyTasks.PAYLOAD_SUFFIX,
+                        job.steps(),
+                        mSimulation.mNow + SimulatedJobKind.PATIENCE_MILLIS);
+        entry().submit(deadly, answer -> answered[0] = !(answer instanceof PoolAnswer.Abandoned));
+        mSimulation.at(
+                deadly.deadline() + PoolSimulation.RESEND_MILLIS,
+                () -> {
+                    if (!answered[0] && attempts > 1) {
+                        submitDeadly(job, attempts - 1);
+                    }
+                });
+    }
+
     private void record(
             SimulatedJobKind kind,
             SimulatedJobKind.Drawn drawn,
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -10,6 +10,7 @@
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarAction;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCore;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarEvent;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.jackdawsaddle.standin.platform.WorkerModel;
@@ -23,6 +24,9 @@
     PoolSidecarCore mCore;
     WorkerModel mWorker;
 
+    /** Until when the worker is down after a crash, in milliseconds since the epoch. */
+    private long mWorkerDownUntil;
+
     /** The number of the worker's latest announcement. */
     long mAnnouncementSequence;
 
@@ -88,6 +92,10 @@
     /** Announces the worker, now and every second until this incarnation of the sidecar ends. */
     private void announce(int sidecarIncarnation) {
         if (mAlive && sidecarIncarnation == mIncarnation) {
+            if (mSimulation.mNow < mWorkerDownUntil) {
+                mSimulation.at(mWorkerDownUntil, () -> announce(sidecarIncarnation));
+                return;
+            }
             mAnnouncementSequence++;
             TargetIncarnation target = target();
             runIfAlive(
@@ -100,6 +108,17 @@
         }
     }
 
+    /** Ends the worker and all its runs without notice; its next incarnation starts later. */
+    private void crashWorker() {
+        mWorkerDownUntil = mSimulation.mNow + DeadlyTasks.DOWN_MILLIS;
+        mWorker =
+                new WorkerModel(
+                        mSimulation.mShape.coresPerWorker(),
+                        mSimulation.mShape.speedOf(mIndex),
+                        mWorkerDownUntil);
+        mAnnouncementSequence = 0;
+    }
+
     private TargetIncarnation target() {
         return new TargetIncarnation(
                 "worker-" + mIndex,
@@ -217,6 +236,10 @@
                     if (worker != mWorker) {
                         return;
                     }
+                    if (mSimulation.mNow < mWorkerDownUntil) {
+                        answerStartLater(sidecarIncarnation, start, StartReply.UNREACHABLE);
+                        return;
+                    }
                     StartReply reply =
                             worker.start(
                                     start.run().task(),
@@ -228,10 +251,23 @@
                     mSimulation.log(
                             "worker " + mIndex + " told to start " + start.run() + ": " + reply);
                     answerStartLater(sidecarIncarnation, start, reply);
+                    if (mSimulation.mDeadlyTasks.onStarted(start, reply)) {
+                        mSimulation.after(
+                                DeadlyTasks.CRASH_AFTER_MILLIS, () -> crash(worker, start.run()));
+                    }
                 };
         execute(order, () -> onStartAnswered(sidecarIncarnation, start, StartReply.UNANSWERED));
     }
 
+    /** Crashes a worker under a run, unless it has crashed or the run was stopped before. */
+    private void crash(WorkerModel worker, PoolMessage.Run run) {
+        if (worker == mWorker && worker.runningTasks().contains(run.task())) {
+            mSimulation.log("worker " + mIndex + " crashes under " + run);
+            mSimulation.mDeadlyTasks.onCrashed(run.task());
+            crashWorker();
+        }
+    }
+
     private void answerStartLater(
             int sidecarIncarnation, PoolSidecarAction.StartRun start, StartReply reply) {
         mSimulation.after(1, () -> onStartAnswered(sidecarIncarnation, start, reply));
@@ -287,7 +323,7 @@
                                 answered),
                 () -> {
                     if (!answered[0]) {
-                        onPollAnswered(sidecarIncarnation, poll, worker, Optional.empty());
+                        onPollAnswered(sidecarIncarnation, poll, new PollReply.Unanswered());
                     }
                 });
     }
@@ -303,6 +339,11 @@
             PoolSidecarAction.Poll poll,
             long until,
             boolean[] answered) {
+        if (mSimulation.mNow < mWorkerDownUntil) {
+            answered[0] = true;
+            onPollAnswered(sidecarIncarnation, poll, new PollReply.Unreachable());
+            return;
+        }
         if (worker != mWorker) {
             return;
         }
@@ -319,21 +360,20 @@
             answered[0] = true;
             mSimulation.after(
                     1,
-                    () -> onPollAnswered(sidecarIncarnation, poll, worker, Optional.of(snapshot)));
+                    () ->
+                            onPollAnswered(
+                                    sidecarIncarnation, poll, new PollReply.Answered(snapshot)));
         }
     }
 
     private void onPollAnswered(
-            int sidecarIncarnation,
-            PoolSidecarAction.Poll poll,
-            WorkerModel worker,
-            Optional<org.jackdawsaddle.pool.RunSnapshot> snapshot) {
+            int sidecarIncarnation, PoolSidecarAction.Poll poll, PollReply reply) {
         runIfAlive(
                 sidecarIncarnation,
                 () ->
                         mCore.handle(
                                 new PoolSidecarEvent.PollAnswered(
-                                        poll.target(), poll.number(), snapshot),
+                                        poll.target(), poll.number(), reply),
                                 mSimulation.mNow));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -172,10 +172,10 @@
                                     poll.ackCursor(),
                                     poll.waitMillis(),
                                     poll.fencingToken())
-                            .thenAccept(snapshot ->
+                            .thenAccept(reply ->
                                     post(
                                             new PoolSidecarEvent.PollAnswered(
-                                                    poll.target(), poll.number(), snapshot)));
+                                                    poll.target(), poll.number(), reply)));
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -26,6 +26,8 @@
      * failed or the job has ended.
      */
     TASK_RETRIED(30),
+    /** A target has crashed under a task, which may have caused it. */
+    TASK_SUSPECTED(30),
     /** A sidecar has not started a run, for another reason than an outdated run number. */
     RUN_NOT_STARTED(20),
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -56,7 +56,12 @@
         /** The run was not started: the target has seen a higher run of the same task. */
         OUTDATED,
         /** The run was not started: the target refused it or could not be reached. */
-        REJECTED
+        REJECTED,
+        /**
+         * The process of the target ended, without leaving first, while it had the run, which may
+         * have caused this.
+         */
+        CRASHED
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -151,6 +151,7 @@
 
     /** Records that a task succeeded; ends the job after its last task. */
     void onTaskDone(PlacedRun placed) {
+        mState.mQuarantine.recordDone(placed.mTask.mName);
         ActiveJob job = placed.mTask.mJob;
         if (!job.mEnded && job.markDone(placed.mTask)) {
             end(job, new PoolAnswer.Succeeded());
@@ -175,6 +176,17 @@
         }
     }
 
+    /**
+     * Fails the job of a task, if it is active, once too many targets have crashed under the task.
+     */
+    void giveUpIfDeadly(String task) {
+        ActiveJob job = mState.mJobs.get(TaskNames.jobOf(task));
+        if (job != null && mState.mQuarantine.givenUp(task)) {
+            mState.mQuarantine.confine(job.mQueue.name(), mState.mNow);
+            end(job, PoolAdmission.deadly(task));
+        }
+    }
+
     /** Ends a job as abandoned, if it is active. */
     void cancel(String id) {
         ActiveJob job = mState.mJobs.get(id);
@@ -186,6 +198,7 @@
 
     void onTick() {
         mAnswers.evictExpired();
+        mState.mQuarantine.onTick(mState.mNow);
         List.copyOf(mState.mJobs.values()).forEach(this::endIfExpired);
         mForecastDue = true;
         mDispatchDue = true;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import org.jackdawsaddle.internal.pool.quarantine.Quarantine;
 import org.jackdawsaddle.internal.target.SpeedModel;
 import org.jackdawsaddle.pool.PoolStep;
 
@@ -25,9 +26,11 @@
     private static final int USEFUL_MULTIPLE = 3;
 
     private final SpeedModel mSpeeds;
+    private final Quarantine mQuarantine;
 
-    Placement(SpeedModel speeds) {
+    Placement(SpeedModel speeds, Quarantine quarantine) {
         mSpeeds = speeds;
+        mQuarantine = quarantine;
     }
 
     /** Returns the expected run time of a task at speed 1, in milliseconds. */
@@ -61,7 +64,7 @@
     /**
      * Returns whether a task could end in time on some serving target, even if that is full now.
      */
-    private static boolean inTimeSomewhere(
+    private boolean inTimeSomewhere(
             TaskState task,
             Collection<SidecarView> sidecars,
             double expectedMillis,
@@ -70,7 +73,8 @@
             if (sidecar.serving()
                     && sidecar.watched()
                     && inTime(sidecar, expectedMillis, remainingMillis)
-                    && couldRun(task.mJob, task.mStep, sidecar)) {
+                    && couldRun(task.mJob, task.mStep, sidecar)
+                    && admitted(task, sidecar)) {
                 return true;
             }
         }
@@ -88,6 +92,10 @@
         if (failed != task.mFailedAt.contains(best.node())) {
             return !failed;
         }
+        boolean isolated = mQuarantine.prefers(task.mName, sidecar.node().name());
+        if (isolated != mQuarantine.prefers(task.mName, best.node().name())) {
+            return isolated;
+        }
         boolean preferred = preferred(task, sidecar);
         if (preferred != preferred(task, best)) {
             return preferred;
@@ -119,11 +127,25 @@
                 && step.demand().fitsIn(sidecar.mHello.capacity());
     }
 
-    private static boolean eligible(TaskState task, SidecarView sidecar, long now) {
+    private boolean eligible(TaskState task, SidecarView sidecar, long now) {
         return sidecar.usable(now)
                 && couldRun(task.mJob, task.mStep, sidecar)
                 && sidecar.fits(task.mStep.demand())
-                && belowPerTargetLimit(task, sidecar);
+                && belowPerTargetLimit(task, sidecar)
+                && admitted(task, sidecar)
+                && !joinsSuspect(task, sidecar);
+    }
+
+    /** Returns whether the quarantine lets a task run on a target. */
+    boolean admitted(TaskState task, SidecarView sidecar) {
+        return mQuarantine.admits(task.mName, task.mJob.mQueue.name(), sidecar.node().name());
+    }
+
+    /** Returns whether a task is suspected of a crash and would share the target with another. */
+    private boolean joinsSuspect(TaskState task, SidecarView sidecar) {
+        return mQuarantine.suspected(task.mName)
+                && sidecar.mPlacedRuns.values().stream()
+                        .anyMatch(run -> mQuarantine.suspected(run.mTask.mName));
     }
 
     private static boolean belowPerTargetLimit(TaskState task, SidecarView sidecar) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -18,7 +18,16 @@
         if (job.mTasks.isEmpty()) {
             return Optional.of(new PoolAnswer.Failed("the job has no tasks"));
         }
-        return Optional.empty();
+        return job.mTasks.stream()
+                .map(task -> task.mName)
+                .filter(mState.mQuarantine::givenUp)
+                .findFirst()
+                .map(PoolAdmission::deadly);
+    }
+
+    /** Returns the answer to a job with a task under which too many targets have crashed. */
+    static PoolAnswer deadly(String task) {
+        return new PoolAnswer.Failed("task " + task + " crashed every target that started it");
     }
 
     /** Returns whether every task of a job would fit at least one known target when idle. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -33,13 +33,13 @@
     public PoolEntryCore(String name, long leaseMillis, long resendMillis) {
         mState = new PoolEntryState();
         SpeedModel speeds = new SpeedModel();
-        Placement placement = new Placement(speeds);
+        Placement placement = new Placement(speeds, mState.mQuarantine);
         mJobs =
                 new JobController(
                         mState, placement, new PoolAdmission(mState, placement), resendMillis);
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
         mPeers = new PeerController(mState);
-        mWatches = new WatchController(mState, name);
+        mWatches = new WatchController(mState, placement, name);
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -26,6 +26,8 @@
     TASKS_FAILED,
     /** Runs that a sidecar reported as ended without result. */
     TASKS_CUT_OFF,
+    /** Runs that were lost with their target. */
+    TASKS_CRASHED,
     /** Runs that were not started, except those with an outdated number. */
     TASKS_NOT_STARTED,
     /** Runs that were stopped because they took too long. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -10,6 +10,7 @@
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
+import org.jackdawsaddle.internal.pool.quarantine.Quarantine;
 import org.jackdawsaddle.pool.PoolConfiguration;
 
 /** The state that the controllers of a pool entry share; used by the control thread only. */
@@ -52,6 +53,7 @@
     long mNow;
 
     final ProcessTimeline mTimeline = new ProcessTimeline();
+    final Quarantine mQuarantine = new Quarantine();
     final TaskDurations mDurations = new TaskDurations();
 
     void advanceTo(long now) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -124,12 +124,17 @@
             return;
         }
         Optional<PlacedRun> removed = mJobs.removeRun(sidecar, report.run());
+        if (report.kind() == ReportKind.CRASHED) {
+            onCrashed(sidecar, report.run(), removed);
+            return;
+        }
         if (removed.isEmpty()) {
             return;
         }
         PlacedRun placed = removed.get();
         switch (report.kind()) {
-            case HELD -> throw new IllegalStateException("HELD is handled before the switch");
+            case HELD, CRASHED ->
+                    throw new IllegalStateException(report.kind() + " is handled before");
             case DONE -> onDone(sidecar, placed);
             case FAILED -> onFailed(sidecar, placed);
             case ENDED -> {
@@ -187,6 +192,32 @@
         mJobs.onTaskFailed(placed);
     }
 
+    /**
+     * Handles a crash of a target under a run, of this entry or of another one.
+     *
+     * @param removed the run, if it was placed by this entry
+     */
+    private void onCrashed(SidecarView sidecar, Run run, Optional<PlacedRun> removed) {
+        boolean news =
+                mState.mQuarantine.recordCrash(run.task(), sidecar.node().name(), mState.mNow);
+        if (news) {
+            EventLog.line(Event.TASK_SUSPECTED)
+                    .with("job", TaskNames.jobOf(run.task()))
+                    .with("task", run.task())
+                    .with("run", run.run())
+                    .with("target", sidecar.mHello.target())
+                    .with("crashes", mState.mQuarantine.crashes(run.task()))
+                    .write();
+        }
+        removed.ifPresent(placed -> {
+            mState.count(PoolEntryCounter.TASKS_CRASHED);
+            mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
+            logRetry(sidecar, placed, "crashed");
+            mJobs.requeue(placed);
+        });
+        mJobs.giveUpIfDeadly(run.task());
+    }
+
     private void logRetry(SidecarView sidecar, PlacedRun placed, String outcome) {
         if (!placed.mStopRequested) {
             EventLog.line(Event.TASK_RETRIED)
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
+import org.jackdawsaddle.internal.pool.quarantine.Quarantine;
 
 /** Places the startable tasks of all jobs on sidecars with enough free capacity. */
 final class TaskDispatcher {
@@ -24,13 +25,17 @@
             String service,
             Optional<String> label,
             boolean needsAccelerator,
-            boolean limitedPerTarget) {
-        static TargetRequirement of(TaskState task) {
+            boolean limitedPerTarget,
+            boolean confined,
+            boolean suspected) {
+        static TargetRequirement of(TaskState task, Quarantine quarantine) {
             return new TargetRequirement(
                     task.mJob.mQueue.service(),
                     task.mStep.requiredLabel(),
                     task.mStep.demand().accelerators() > 0,
-                    task.mStep.maxPerTarget() > 0);
+                    task.mStep.maxPerTarget() > 0,
+                    quarantine.confined(task.mJob.mQueue.name()),
+                    quarantine.suspected(task.mName));
         }
     }
 
@@ -101,7 +106,7 @@
             if (!waiting.job().startable(task)) {
                 continue;
             }
-            TargetRequirement requirement = TargetRequirement.of(task);
+            TargetRequirement requirement = TargetRequirement.of(task, mState.mQuarantine);
             if (round.exhausted(requirement)) {
                 return;
             }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
@@ -32,6 +32,7 @@
     private static final long SHORTAGE_MILLIS = 1_000;
 
     private final PoolEntryState mState;
+    private final Placement mPlacement;
     private final SidecarRanking mRanking;
     private boolean mWatching;
 
@@ -49,8 +50,9 @@
      *
      * @param name the name of the entry
      */
-    WatchController(PoolEntryState state, String name) {
+    WatchController(PoolEntryState state, Placement placement, String name) {
         mState = state;
+        mPlacement = placement;
         mRanking = new SidecarRanking(name);
     }
 
@@ -69,6 +71,7 @@
             mRankedVersion = mState.mMembersVersion;
             mRanked = rank();
             mState.mPreferredSidecars = preferred();
+            mState.mQuarantine.selectMembers(mRanked.stream().map(WatchController::names).toList());
         }
         mRanked.forEach(this::watchFirst);
         mState.mWaitingTask.ifPresent(this::watchForTask);
@@ -86,6 +89,10 @@
         return ranked;
     }
 
+    private static List<String> names(List<SidecarView> sidecars) {
+        return sidecars.stream().map(sidecar -> sidecar.node().name()).toList();
+    }
+
     private List<SidecarView> preferred() {
         return mRanked.stream()
                 .flatMap(ranked -> ranked.stream().limit(watchedCount(ranked.size())))
@@ -112,6 +119,7 @@
                 mState.mSidecars.values().stream()
                         .filter(SidecarView::serving)
                         .filter(sidecar -> Placement.couldRun(task.mJob, task.mStep, sidecar))
+                        .filter(sidecar -> mPlacement.admitted(task, sidecar))
                         .toList();
         if (candidates.stream().noneMatch(SidecarView::watched)) {
             candidates.forEach(sidecar -> watch(sidecar, true));
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
@@ -0,0 +1,118 @@
+package org.jackdawsaddle.internal.pool.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jackdawsaddle.internal.pool.MixedHash;
+
+/**
+ * Limits the harm of tasks that crash the targets which start them. A task under which two targets
+ * have crashed is given up. Its queue is then confined for a while: its tasks only run on a few
+ * targets, the same ones for all entries, and no other queue uses these.
+ *
+ * <p>A crash makes suspects of all tasks that ran on the target, and most are innocent: a suspect
+ * never returns to a target that has crashed under it, and no two suspects of an entry share one.
+ */
+public final class Quarantine {
+    /** How long a queue is confined after one of its tasks was last given up. */
+    private static final long CONFINEMENT_MILLIS = 4_000;
+
+    /** One of so many targets of a service is for confined queues. */
+    private static final int TARGETS_PER_MEMBER = 4;
+
+    private final CrashHistory mHistory = new CrashHistory();
+
+    /** When the confinement of each confined queue ends, in milliseconds since the epoch. */
+    private final Map<String, Long> mConfinedUntil = new HashMap<>();
+
+    /** The names of the sidecars whose targets are for confined queues. */
+    private Set<String> mMembers = Set.of();
+
+    /**
+     * Records that a target has crashed under a task; again for the same sidecar has no effect.
+     *
+     * @param sidecar the name of the sidecar of that target
+     * @return whether the crash was not known yet
+     */
+    public boolean recordCrash(String task, String sidecar, long now) {
+        if (mMembers.contains(sidecar)) {
+            mConfinedUntil.replaceAll((queue, until) -> now + CONFINEMENT_MILLIS);
+        }
+        return mHistory.record(task, sidecar, now);
+    }
+
+    /** Clears a task of suspicion, as a run of it has succeeded. */
+    public void recordDone(String task) {
+        mHistory.recordDone(task);
+    }
+
+    /** Confines a queue for a while, as one of its tasks was given up. */
+    public void confine(String queue, long now) {
+        mConfinedUntil.put(queue, now + CONFINEMENT_MILLIS);
+    }
+
+    /** Returns how many targets have crashed under a task. */
+    public int crashes(String task) {
+        return mHistory.crashes(task);
+    }
+
+    /** Returns whether a target has crashed under a task that has not succeeded since. */
+    public boolean suspected(String task) {
+        return mHistory.crashes(task) > 0;
+    }
+
+    /** Returns whether so many targets have crashed under a task that it must not run again. */
+    public boolean givenUp(String task) {
+        return mHistory.givenUp(task);
+    }
+
+    /** Returns whether a queue is confined. */
+    public boolean confined(String queue) {
+        return mConfinedUntil.containsKey(queue);
+    }
+
+    /**
+     * Chooses the targets for confined queues.
+     *
+     * @param sidecars the names of the sidecars of one service in each list
+     */
+    public void selectMembers(Collection<List<String>> sidecars) {
+        Set<String> members = new HashSet<>();
+        for (List<String> service : sidecars) {
+            List<String> ranked = new ArrayList<>(service);
+            ranked.sort(
+                    Comparator.<String>comparingInt(MixedHash::of)
+                            .thenComparing(Comparator.naturalOrder()));
+            int count = service.size() / TARGETS_PER_MEMBER;
+            members.addAll(ranked.subList(0, count));
+        }
+        mMembers = members;
+    }
+
+    /** Returns whether a task may run on the target of a sidecar. */
+    public boolean admits(String task, String queue, String sidecar) {
+        return !mHistory.crashedAt(task, sidecar) && admitsQueue(queue, sidecar);
+    }
+
+    /** Returns whether a target suits a task: suspects go to the targets for confined queues. */
+    public boolean prefers(String task, String sidecar) {
+        return !suspected(task) || mMembers.contains(sidecar);
+    }
+
+    private boolean admitsQueue(String queue, String sidecar) {
+        return mConfinedUntil.isEmpty()
+                || mMembers.isEmpty()
+                || confined(queue) == mMembers.contains(sidecar);
+    }
+
+    /** Ends what is over: confinements, and the memory of crashes. */
+    public void onTick(long now) {
+        mHistory.evictExpired(now);
+        mConfinedUntil.values().removeIf(until -> until <= now);
+    }
+}
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/CrashedTasks.java
@@ -0,0 +1,52 @@
+package org.jackdawsaddle.internal.pool.sidecar;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
+import org.jackdawsaddle.internal.message.PoolMessage.Run;
+import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+
+/**
+ * The tasks that ran on the target when it crashed. The sidecar tells every entry of them and
+ * starts none of them again, so that a task keeps its history when its job comes to another entry.
+ */
+final class CrashedTasks {
+    private static final int MAX_TASKS = 1_000;
+    private static final long RETENTION_MILLIS = 30_000;
+
+    private record Crash(Run run, long expiresAt) {}
+
+    /** By task; the oldest are forgotten first. */
+    private final Map<String, Crash> mCrashes =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Crash> eldest) {
+                    return size() > MAX_TASKS;
+                }
+            };
+
+    void add(Run run, long now) {
+        mCrashes.remove(run.task());
+        mCrashes.put(run.task(), new Crash(run, now + RETENTION_MILLIS));
+    }
+
+    boolean contains(String task) {
+        return mCrashes.containsKey(task);
+    }
+
+    void evictExpired(long now) {
+        mCrashes.values().removeIf(crash -> crash.expiresAt() <= now);
+    }
+
+    /** Returns a report on each of the tasks. */
+    List<TaskReport> reports() {
+        List<TaskReport> reports = new ArrayList<>();
+        mCrashes.values()
+                .forEach(crash -> reports.add(new TaskReport(crash.run(), ReportKind.CRASHED)));
+        return reports;
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -3,6 +3,7 @@
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
 import org.jackdawsaddle.internal.pool.TaskNames;
+import org.jackdawsaddle.pool.TargetIncarnation;
 
 /** A run that a sidecar has ordered its target to start and that is not known to have ended. */
 final class HeldRun {
@@ -23,6 +24,13 @@
     final NodeId mOwner;
 
     final StartTask mStartTask;
+
+    /** The incarnation of the target that was ordered to start the run. */
+    final TargetIncarnation mTarget;
+
+    /** Whether that incarnation has announced since that it leaves, or has withdrawn. */
+    boolean mTargetLeft;
+
     State mState = State.STARTING;
 
     /**
@@ -41,8 +49,9 @@
     /** When a stop that was not confirmed is ordered again, in milliseconds since the epoch. */
     long mStopDueAt;
 
-    HeldRun(NodeId owner, StartTask task) {
+    HeldRun(NodeId owner, StartTask task, TargetIncarnation target) {
         mOwner = owner;
+        mTarget = target;
         mStartTask = task;
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -36,6 +36,7 @@
     private final List<PoolSidecarAction> mActions = new ArrayList<>();
     private final long[] mCounts = new long[PoolSidecarCounter.values().length];
     private final Map<NodeId, EntryView> mEntries = new LinkedHashMap<>();
+    private final CrashedTasks mCrashedTasks = new CrashedTasks();
     private Optional<TargetIncarnation> mTarget = Optional.empty();
 
     /** When the latest announcement times out; 0 if the target has withdrawn it. */
@@ -84,7 +85,7 @@
             case PoolSidecarEvent.StopAnswered answered ->
                     mRuns.onStopAnswered(answered.run(), answered.confirmed());
             case PoolSidecarEvent.PollAnswered answered ->
-                    mRuns.onPollAnswered(answered.target(), answered.number(), answered.snapshot());
+                    mRuns.onPollAnswered(answered.target(), answered.number(), answered.reply());
             case PoolSidecarEvent.EntryConnected connected -> onConnected(connected.entry());
             case PoolSidecarEvent.EntryLost lost -> onLost(lost.entry());
             case PoolSidecarEvent.EntrySent sent -> onEntrySent(sent.entry(), sent.message());
@@ -206,12 +207,14 @@
     private void onWithdrawn(String targetName) {
         if (mTarget.filter(target -> target.id().equals(targetName)).isPresent()) {
             mAnnouncementExpiresAt = 0;
+            mRuns.onTargetLeft();
         }
     }
 
     private void onConnected(NodeId entry) {
         EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
         view.onConnected(mNow);
+        mCrashedTasks.reports().forEach(view::addReport);
         mTarget.ifPresent(target -> sendHello(entry, view, target));
     }
 
@@ -294,6 +297,9 @@
         if (!current || !serving()) {
             return Optional.of(ReportKind.NOT_SERVING);
         }
+        if (mCrashedTasks.contains(task.run().task())) {
+            return Optional.of(ReportKind.CRASHED);
+        }
         if (mRuns.holdsTask(task.run().task()) || !task.demand().fitsIn(free())) {
             return Optional.of(ReportKind.NO_ROOM);
         }
@@ -314,6 +320,7 @@
                         entry.getValue().reconnectTimedOut(mNow)
                                 && !owners.contains(entry.getKey()));
         mRuns.onTick();
+        mCrashedTasks.evictExpired(mNow);
         saveIfDue();
     }
 
@@ -331,9 +338,15 @@
     }
 
     /**
-     * Queues a report until the entry is connected; drops it if the entry is not known any more.
+     * Queues a report until the entry is connected; drops it if the entry is not known any more. A
+     * crash is reported to all entries, as any of them may get the job next.
      */
     private void report(NodeId owner, Run run, ReportKind kind) {
+        if (kind == ReportKind.CRASHED && !mCrashedTasks.contains(run.task())) {
+            mCrashedTasks.add(run, mNow);
+            mEntries.values().forEach(view -> view.addReport(new TaskReport(run, kind)));
+            return;
+        }
         EntryView view = mEntries.get(owner);
         if (view != null) {
             view.addReport(new TaskReport(run, kind));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarEvent.java
@@ -1,10 +1,9 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
-import java.util.Optional;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
-import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
@@ -34,8 +33,8 @@
      */
     record StopAnswered(Run run, boolean confirmed) implements PoolSidecarEvent {}
 
-    /** A poll has ended; the snapshot is empty if there was no usable answer. */
-    record PollAnswered(TargetIncarnation target, long number, Optional<RunSnapshot> snapshot)
+    /** A poll was answered, or has failed or timed out. */
+    record PollAnswered(TargetIncarnation target, long number, PollReply reply)
             implements PoolSidecarEvent {}
 
     /** The connection to an entry is ready for messages. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -1,6 +1,5 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,8 +16,8 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
-import org.jackdawsaddle.internal.pool.TaskNames;
 import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
@@ -34,13 +33,8 @@
     private static final long POLL_RETRY_MILLIS = 50;
     private static final long STOP_RETRY_MILLIS = 100;
 
-    /** Reports the state of a run to the entry that owns it. */
-    interface Reporter {
-        void report(NodeId owner, Run run, ReportKind kind);
-    }
-
     private final List<PoolSidecarAction> mActions;
-    private final Reporter mReporter;
+    private final RunReporter mReporter;
     private final Consumer<PoolSidecarCounter> mCounter;
     private final long mFencingToken;
     private final TargetLiveness mLiveness;
@@ -58,7 +52,7 @@
 
     RunTable(
             List<PoolSidecarAction> actions,
-            Reporter reporter,
+            RunReporter reporter,
             Consumer<PoolSidecarCounter> counter,
             long fencingToken,
             long leaseMillis) {
@@ -122,6 +116,9 @@
 
     void onTarget(TargetIncarnation target, boolean sameIncarnation) {
         mTarget = Optional.of(target);
+        if (target.leaving()) {
+            onTargetLeft();
+        }
         mLiveness.recordClock(target.clock());
         if (!sameIncarnation) {
             EventLog.line(Event.TARGET_FOUND)
@@ -140,6 +137,13 @@
         }
     }
 
+    /** Records that the target leaves, or has left: the runs lost with it have not crashed it. */
+    void onTargetLeft() {
+        mHeldRuns.values().stream()
+                .filter(held -> current(held.mTarget))
+                .forEach(held -> held.mTargetLeft = true);
+    }
+
     /**
      * Lets the first snapshot of a new incarnation show which runs are left: it may have started
      * runs that were ordered from the previous one. Orders in flight still await their answers.
@@ -156,7 +160,7 @@
         if (mHeldRuns.isEmpty()) {
             mLiveness.recordHeard();
         }
-        mHeldRuns.put(task.run(), new HeldRun(owner, task));
+        mHeldRuns.put(task.run(), new HeldRun(owner, task, target));
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
@@ -177,7 +181,7 @@
         for (HeldRun held : mHeldRuns.values()) {
             if (held.mState != HeldRun.State.STOPPING && owners.test(held.mOwner)) {
                 mCounter.accept(PoolSidecarCounter.RUNS_ORPHANED);
-                logStop(held.mStartTask.run(), "entry lost: " + held.mOwner);
+                RunLog.stopped(held.mStartTask.run(), "entry lost: " + held.mOwner);
                 stop(held);
             }
         }
@@ -211,7 +215,7 @@
             case OUTDATED -> onRefused(held, ReportKind.OUTDATED);
             case NO_ROOM -> onRefused(held, ReportKind.NO_ROOM);
             case FENCED, REFUSED, UNREACHABLE -> {
-                logRun(Event.RUN_REFUSED, run).with("reason", reply).write();
+                RunLog.line(Event.RUN_REFUSED, run).with("reason", reply).write();
                 onRefused(held, ReportKind.REJECTED);
             }
         }
@@ -234,7 +238,7 @@
         if (held.mListed) {
             onStarted(held);
         } else {
-            logRun(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
+            RunLog.line(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
             stop(held);
         }
     }
@@ -256,18 +260,34 @@
         }
     }
 
-    void onPollAnswered(TargetIncarnation target, long number, Optional<RunSnapshot> answer) {
+    void onPollAnswered(TargetIncarnation target, long number, PollReply reply) {
         if (number != mPollNumber || !current(target)) {
             return;
         }
         mPollInFlight = false;
-        if (answer.isEmpty()) {
-            mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
-            mLiveness.recordUnanswered(target);
-            mPollDueAt = mNow + POLL_RETRY_MILLIS;
-            return;
+        switch (reply) {
+            case PollReply.Answered answered -> onSnapshot(target, number, answered.snapshot());
+            case PollReply.Unreachable unreachable -> {
+                mLiveness.recordUnreachable(target);
+                onPollFailed();
+            }
+            case PollReply.Unanswered unanswered -> {
+                mLiveness.recordUnanswered(target);
+                onPollFailed();
+            }
+        }
+    }
+
+    private void onPollFailed() {
+        mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
+        mPollDueAt = mNow + POLL_RETRY_MILLIS;
+        if (mLiveness.crashed()) {
+            mReconciled = false;
+            endAllAsLost(ReportKind.CRASHED);
         }
-        RunSnapshot snapshot = answer.get();
+    }
+
+    private void onSnapshot(TargetIncarnation target, long number, RunSnapshot snapshot) {
         if (snapshot.startedAt() != 0 && snapshot.startedAt() != target.startedAt()) {
             return;
         }
@@ -280,15 +300,16 @@
         unknown.forEach(this::stopUnknownRun);
         mReconciled = mReconciled || unknown.isEmpty();
         mPollDueAt = mReconciled ? mNow : mNow + POLL_RETRY_MILLIS;
-        List<HeldRun> missing =
-                mHeldRuns.values().stream()
-                        .filter(held -> held.mConclusivePoll <= number)
-                        .filter(held -> !running.contains(held.mStartTask.run()))
-                        .toList();
-        missing.forEach(held -> {
-            mCounter.accept(PoolSidecarCounter.RUNS_LOST);
-            end(held, ReportKind.ENDED);
-        });
+        mHeldRuns.values().stream()
+                .filter(held -> held.mConclusivePoll <= number)
+                .filter(held -> !running.contains(held.mStartTask.run()))
+                .toList()
+                .forEach(held -> endLost(held, lostKind(held)));
+    }
+
+    /** Returns how a run has ended that a snapshot omits. */
+    private ReportKind lostKind(HeldRun held) {
+        return current(held.mTarget) ? ReportKind.ENDED : ReportKind.CRASHED;
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
@@ -297,42 +318,20 @@
         }
         mAckCursor = ended.number();
         Run run = new Run(ended.task(), ended.run());
-        ReportKind kind =
-                switch (ended.outcome()) {
-                    case DONE -> ReportKind.DONE;
-                    case FAILED -> ReportKind.FAILED;
-                    case CUT_OFF -> ReportKind.ENDED;
-                };
         HeldRun held = mHeldRuns.get(run);
         if (held != null) {
-            mCounter.accept(
-                    switch (ended.outcome()) {
-                        case DONE -> PoolSidecarCounter.RUNS_DONE;
-                        case FAILED -> PoolSidecarCounter.RUNS_FAILED;
-                        case CUT_OFF -> PoolSidecarCounter.RUNS_CUT_OFF;
-                    });
-            end(held, kind);
+            mCounter.accept(RunOutcomes.counterOf(ended.outcome()));
+            end(held, RunOutcomes.kindOf(ended.outcome()));
         }
     }
 
     /** Stops a run of an earlier sidecar process, or one that started after it counted as ended. */
     private void stopUnknownRun(Run run) {
         mCounter.accept(PoolSidecarCounter.RUNS_OF_OTHERS);
-        logStop(run, "not ordered here");
+        RunLog.stopped(run, "not ordered here");
         mActions.add(new PoolSidecarAction.StopRun(mTarget.orElseThrow(), run, mFencingToken));
     }
 
-    private static EventLog.Line logRun(Event event, Run run) {
-        return EventLog.line(event)
-                .with("job", TaskNames.jobOf(run.task()))
-                .with("task", run.task())
-                .with("run", run.run());
-    }
-
-    private static void logStop(Run run, String reason) {
-        logRun(Event.RUN_STOPPED, run).with("reason", reason).write();
-    }
-
     void onTick() {
         for (HeldRun held : mHeldRuns.values()) {
             boolean unconfirmed = held.mConclusivePoll == Long.MAX_VALUE && !held.mStopInFlight;
@@ -340,12 +339,8 @@
                 sendStopOrder(held);
             }
         }
-        if (!mHeldRuns.isEmpty() && mLiveness.leaseHasExpired()) {
-            EventLog.line(Event.RUNS_LOST)
-                    .with("runs", mHeldRuns.keySet())
-                    .with("silent_ms", mLiveness.silentMillis())
-                    .write();
-            endAllAsLost();
+        if (mLiveness.leaseHasExpired()) {
+            endAllAsLost(ReportKind.ENDED);
         }
     }
 
@@ -381,11 +376,22 @@
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
 
-    private void endAllAsLost() {
-        for (HeldRun held : new ArrayList<>(mHeldRuns.values())) {
-            mCounter.accept(PoolSidecarCounter.RUNS_LOST);
-            end(held, ReportKind.ENDED);
+    private void endAllAsLost(ReportKind kind) {
+        if (mHeldRuns.isEmpty()) {
+            return;
         }
+        EventLog.line(Event.RUNS_LOST)
+                .with("runs", mHeldRuns.keySet())
+                .with("silent_ms", mLiveness.silentMillis())
+                .with("crashed", kind == ReportKind.CRASHED)
+                .write();
+        List.copyOf(mHeldRuns.values()).forEach(held -> endLost(held, kind));
+    }
+
+    /** Ends a run without a reported end; a target that left was not crashed by it. */
+    private void endLost(HeldRun held, ReportKind kind) {
+        mCounter.accept(PoolSidecarCounter.RUNS_LOST);
+        end(held, held.mTargetLeft ? ReportKind.ENDED : kind);
     }
 
     private void end(HeldRun held, ReportKind kind) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
@@ -16,6 +16,9 @@
     /** After this many consecutive polls without answer a target gets no new tasks. */
     private static final int UNRESPONSIVE_AFTER_UNANSWERED = 3;
 
+    /** After this many consecutive polls that reach no process, the target has crashed. */
+    private static final int CRASHED_AFTER_UNREACHABLE = 2;
+
     private final long mLeaseMillis;
     private long mNow;
 
@@ -30,6 +33,9 @@
 
     private int mUnansweredPollCount;
 
+    /** Number of consecutive polls that found no process at the target's address. */
+    private int mUnreachablePollCount;
+
     /** The end of the latest lease requested, in milliseconds since the epoch by this sidecar. */
     private long mLatestLeaseEnd;
 
@@ -43,6 +49,7 @@
 
     /** Records that the target has answered an order, or starts to count its silence from now. */
     void recordHeard() {
+        mUnreachablePollCount = 0;
         mLastHeardAt = mNow;
     }
 
@@ -63,6 +70,17 @@
         }
     }
 
+    /** Records that a poll found no process at the target's address. */
+    void recordUnreachable(TargetIncarnation target) {
+        mUnreachablePollCount++;
+        recordUnanswered(target);
+    }
+
+    /** Returns whether the target's process has ended, so that none of its runs is left. */
+    boolean crashed() {
+        return mUnreachablePollCount >= CRASHED_AFTER_UNREACHABLE;
+    }
+
     /** Sets the clock offset from a reading of the target's clock received now, in milliseconds. */
     void recordClock(long clock) {
         mClockOffset = clock - mNow;
@@ -70,10 +88,10 @@
 
     /**
      * Returns whether fewer than {@link #UNRESPONSIVE_AFTER_UNANSWERED} polls in a row got no
-     * answer.
+     * answer, and the target has not crashed.
      */
     boolean responsive() {
-        return mUnansweredPollCount < UNRESPONSIVE_AFTER_UNANSWERED;
+        return mUnansweredPollCount < UNRESPONSIVE_AFTER_UNANSWERED && !crashed();
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/TargetGateway.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/TargetGateway.java
@@ -36,6 +36,18 @@
         UNANSWERED
     }
 
+    /** The outcome of a poll. */
+    sealed interface PollReply {
+        /** The target has answered. */
+        record Answered(RunSnapshot snapshot) implements PollReply {}
+
+        /** No target accepts connections at the address. */
+        record Unreachable() implements PollReply {}
+
+        /** There was no usable answer. */
+        record Unanswered() implements PollReply {}
+    }
+
     /**
      * Starts a run.
      *
@@ -68,9 +80,8 @@
      * @param ackCursor the acknowledgement cursor: the target may forget ended runs up to this
      *     number
      * @param waitMillis how long the answer may be delayed until a run ends, in milliseconds
-     * @return the snapshot; empty if there was no usable answer
      */
-    CompletableFuture<Optional<RunSnapshot>> poll(
+    CompletableFuture<PollReply> poll(
             TargetIncarnation target,
             Optional<Long> leaseUntil,
             long ackCursor,
