Give up a task at two crashes only if it was the only suspect

Now a task is convicted at its second crash if it was the only one of that crash that was suspected before, and else at the third.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/Placement.java
@@ -92,10 +92,6 @@
         if (failed != task.mFailedAt.contains(best.node())) {
             return !failed;
         }
-        boolean isolated = mQuarantine.prefers(task.mName, sidecar.node().name());
-        if (isolated != mQuarantine.prefers(task.mName, best.node().name())) {
-            return isolated;
-        }
         boolean preferred = preferred(task, sidecar);
         if (preferred != preferred(task, best)) {
             return preferred;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -110,8 +110,10 @@
         sidecar.onHeard(mState.mNow);
         switch (message) {
             case PoolMessage.Room room -> onRoom(sidecar, room);
-            case PoolMessage.TaskReports reports ->
-                    reports.reports().forEach(report -> onReport(sidecar, report));
+            case PoolMessage.TaskReports reports -> {
+                recordCrashes(sidecar, reports.reports());
+                reports.reports().forEach(report -> onReport(sidecar, report));
+            }
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from a sidecar: " + message);
@@ -123,18 +125,16 @@
         if (report.kind() == ReportKind.HELD) {
             return;
         }
-        Optional<PlacedRun> removed = mJobs.removeRun(sidecar, report.run());
         if (report.kind() == ReportKind.CRASHED) {
-            onCrashed(sidecar, report.run(), removed);
-            return;
+            mJobs.giveUpIfDeadly(report.run().task());
         }
+        Optional<PlacedRun> removed = mJobs.removeRun(sidecar, report.run());
         if (removed.isEmpty()) {
             return;
         }
         PlacedRun placed = removed.get();
         switch (report.kind()) {
-            case HELD, CRASHED ->
-                    throw new IllegalStateException(report.kind() + " is handled before");
+            case HELD -> throw new IllegalStateException("HELD is handled before the switch");
             case DONE -> onDone(sidecar, placed);
             case FAILED -> onFailed(sidecar, placed);
             case ENDED -> {
@@ -143,6 +143,7 @@
                 logRetry(sidecar, placed, "cut off");
                 mJobs.requeue(placed);
             }
+            case CRASHED -> onCrashed(sidecar, placed);
             case NO_ROOM, NOT_SERVING ->
                     onNotStarted(sidecar, placed, report.kind(), REFUSED_BACKOFF_MILLIS);
             case REJECTED -> onNotStarted(sidecar, placed, report.kind(), REJECTED_BACKOFF_MILLIS);
@@ -192,30 +193,30 @@
         mJobs.onTaskFailed(placed);
     }
 
-    /**
-     * Handles a crash of a target under a run, of this entry or of another one.
-     *
-     * @param removed the run, if it was placed by this entry
-     */
-    private void onCrashed(SidecarView sidecar, Run run, Optional<PlacedRun> removed) {
-        boolean news =
-                mState.mQuarantine.recordCrash(run.task(), sidecar.node().name(), mState.mNow);
-        if (news) {
-            EventLog.line(Event.TASK_SUSPECTED)
-                    .with("job", TaskNames.jobOf(run.task()))
-                    .with("task", run.task())
-                    .with("run", run.run())
-                    .with("target", sidecar.mHello.target())
-                    .with("crashes", mState.mQuarantine.crashes(run.task()))
-                    .write();
-        }
-        removed.ifPresent(placed -> {
-            mState.count(PoolEntryCounter.TASKS_CRASHED);
-            mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
-            logRetry(sidecar, placed, "crashed");
-            mJobs.requeue(placed);
-        });
-        mJobs.giveUpIfDeadly(run.task());
+    /** Records the tasks under which the target has crashed, of this entry and of others. */
+    private void recordCrashes(SidecarView sidecar, List<TaskReport> reports) {
+        List<String> tasks =
+                reports.stream()
+                        .filter(report -> report.kind() == ReportKind.CRASHED)
+                        .map(report -> report.run().task())
+                        .toList();
+        mState.mQuarantine
+                .recordCrash(tasks, sidecar.node().name(), mState.mNow)
+                .forEach(task ->
+                        EventLog.line(Event.TASK_SUSPECTED)
+                                .with("job", TaskNames.jobOf(task))
+                                .with("task", task)
+                                .with("target", sidecar.mHello.target())
+                                .with("crashes", mState.mQuarantine.crashes(task))
+                                .with("given_up", mState.mQuarantine.givenUp(task))
+                                .write());
+    }
+
+    private void onCrashed(SidecarView sidecar, PlacedRun placed) {
+        mState.count(PoolEntryCounter.TASKS_CRASHED);
+        mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
+        logRetry(sidecar, placed, "crashed");
+        mJobs.requeue(placed);
     }
 
     private void logRetry(SidecarView sidecar, PlacedRun placed, String outcome) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/CrashHistory.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/CrashHistory.java
@@ -10,8 +10,8 @@
  * of them are suspects, as any may have caused the crash, until a run of them succeeds.
  */
 final class CrashHistory {
-    /** A task under which so many targets have crashed is given up. */
-    static final int MAX_CRASHES = 2;
+    /** A task under which so many targets have crashed is given up, if it is the cause or not. */
+    private static final int MAX_CRASHES = 3;
 
     private static final long RETENTION_MILLIS = 30_000;
 
@@ -19,6 +19,8 @@
     private static final class Suspect {
         final Set<String> mSidecars = new HashSet<>();
 
+        boolean mConvicted;
+
         /** When the task is forgotten, in milliseconds since the epoch. */
         long mExpiresAt;
     }
@@ -29,12 +31,16 @@
      * Records that a target has crashed under a task; again for the same sidecar has no effect.
      *
      * @param sidecar the name of the sidecar of that target
-     * @return whether the crash was not known yet
      */
-    boolean record(String task, String sidecar, long now) {
+    void record(String task, String sidecar, long now) {
         Suspect suspect = mSuspects.computeIfAbsent(task, name -> new Suspect());
         suspect.mExpiresAt = now + RETENTION_MILLIS;
-        return suspect.mSidecars.add(sidecar);
+        suspect.mSidecars.add(sidecar);
+    }
+
+    /** Records that a recorded task is the cause of its crashes. */
+    void convict(String task) {
+        mSuspects.get(task).mConvicted = true;
     }
 
     /** Returns how many targets have crashed under a task. */
@@ -43,9 +49,10 @@
         return suspect == null ? 0 : suspect.mSidecars.size();
     }
 
-    /** Returns whether so many targets have crashed under a task that it must not run again. */
+    /** Returns whether a task must not run again. */
     boolean givenUp(String task) {
-        return crashes(task) >= MAX_CRASHES;
+        Suspect suspect = mSuspects.get(task);
+        return suspect != null && (suspect.mConvicted || suspect.mSidecars.size() >= MAX_CRASHES);
     }
 
     /** Returns whether a target has crashed under a task. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
@@ -11,9 +11,10 @@
 import org.jackdawsaddle.internal.pool.MixedHash;
 
 /**
- * Limits the harm of tasks that crash the targets which start them. A task under which two targets
- * have crashed is given up. Its queue is then confined for a while: its tasks only run on a few
- * targets, the same ones for all entries, and no other queue uses these.
+ * Limits the harm of tasks that crash the targets which start them. A task under which a target
+ * crashes a second time is given up, or a third time if it is not clear which task is the cause.
+ * Its queue is then confined for a while: its tasks only run on a few targets, the same ones for
+ * all entries, and no other queue uses these.
  *
  * <p>A crash makes suspects of all tasks that ran on the target, and most are innocent: a suspect
  * never returns to a target that has crashed under it, and no two suspects of an entry share one.
@@ -34,16 +35,24 @@
     private Set<String> mMembers = Set.of();
 
     /**
-     * Records that a target has crashed under a task; again for the same sidecar has no effect.
+     * Records that a target has crashed under tasks; those already recorded for it have no effect.
+     * If a target had crashed before under exactly one of them, that one is the cause.
      *
      * @param sidecar the name of the sidecar of that target
-     * @return whether the crash was not known yet
+     * @return the tasks that were not recorded for it before
      */
-    public boolean recordCrash(String task, String sidecar, long now) {
-        if (mMembers.contains(sidecar)) {
+    public List<String> recordCrash(List<String> tasks, String sidecar, long now) {
+        if (!tasks.isEmpty() && mMembers.contains(sidecar)) {
             mConfinedUntil.replaceAll((queue, until) -> now + CONFINEMENT_MILLIS);
         }
-        return mHistory.record(task, sidecar, now);
+        List<String> added =
+                tasks.stream().filter(task -> !mHistory.crashedAt(task, sidecar)).toList();
+        List<String> suspects = added.stream().filter(this::suspected).toList();
+        added.forEach(task -> mHistory.record(task, sidecar, now));
+        if (suspects.size() == 1) {
+            mHistory.convict(suspects.get(0));
+        }
+        return added;
     }
 
     /** Clears a task of suspicion, as a run of it has succeeded. */
@@ -99,11 +108,6 @@
         return !mHistory.crashedAt(task, sidecar) && admitsQueue(queue, sidecar);
     }
 
-    /** Returns whether a target suits a task: suspects go to the targets for confined queues. */
-    public boolean prefers(String task, String sidecar) {
-        return !suspected(task) || mMembers.contains(sidecar);
-    }
-
     private boolean admitsQueue(String queue, String sidecar) {
         return mConfinedUntil.isEmpty()
                 || mMembers.isEmpty()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -73,7 +73,7 @@
         return mHeldRuns.isEmpty() && mSentAckCursor == mAckCursor;
     }
 
-    /** Returns whether the target answers polls; see {@link TargetLiveness#responsive}. */
+    /** See {@link TargetLiveness#responsive}. */
     boolean responsive() {
         return mLiveness.responsive();
     }
@@ -304,12 +304,10 @@
                 .filter(held -> held.mConclusivePoll <= number)
                 .filter(held -> !running.contains(held.mStartTask.run()))
                 .toList()
-                .forEach(held -> endLost(held, lostKind(held)));
-    }
-
-    /** Returns how a run has ended that a snapshot omits. */
-    private ReportKind lostKind(HeldRun held) {
-        return current(held.mTarget) ? ReportKind.ENDED : ReportKind.CRASHED;
+                .forEach(held ->
+                        endLost(
+                                held,
+                                current(held.mTarget) ? ReportKind.ENDED : ReportKind.CRASHED));
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
@@ -317,8 +315,7 @@
             return;
         }
         mAckCursor = ended.number();
-        Run run = new Run(ended.task(), ended.run());
-        HeldRun held = mHeldRuns.get(run);
+        HeldRun held = mHeldRuns.get(new Run(ended.task(), ended.run()));
         if (held != null) {
             mCounter.accept(RunOutcomes.counterOf(ended.outcome()));
             end(held, RunOutcomes.kindOf(ended.outcome()));
