Confine at most one queue, that with the most tasks given up

An innocent suspect that meets a deadly task is convicted in its place now and then, and each such conviction confined its queue. The queue is now also known if its job has ended before the conviction.

Tests of Quarantine and of the sidecar's reports on crashes.

--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
@@ -0,0 +1,78 @@
+package org.jackdawsaddle.internal.pool.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which tasks {@link Quarantine} gives up, and where it lets tasks run. */
+public class QuarantineTest {
+    private static final long NOW = 1_000_000;
+    private static final List<String> SIDECARS = List.of("a", "b", "c", "d");
+
+    private Quarantine mQuarantine;
+
+    @BeforeMethod
+    public void createQuarantine() {
+        mQuarantine = new Quarantine();
+        mQuarantine.selectMembers(List.of(SIDECARS));
+    }
+
+    @Test
+    public void givesUpTheOnlySuspectOfASecondCrash() {
+        mQuarantine.recordCrash(List.of("deadly", "innocent"), "a", NOW);
+        assertFalse(mQuarantine.givenUp("deadly"));
+        mQuarantine.recordCrash(List.of("deadly", "other"), "b", NOW);
+        assertTrue(mQuarantine.givenUp("deadly"));
+        assertFalse(mQuarantine.givenUp("innocent"));
+        assertFalse(mQuarantine.givenUp("other"));
+    }
+
+    @Test
+    public void givesUpNoTaskWhileSuspectsShareTheirTargetsUntilTheThirdCrash() {
+        List<String> tasks = List.of("one", "two");
+        mQuarantine.recordCrash(tasks, "a", NOW);
+        mQuarantine.recordCrash(tasks, "b", NOW);
+        assertFalse(mQuarantine.givenUp("one"));
+        assertFalse(mQuarantine.givenUp("two"));
+        mQuarantine.recordCrash(tasks, "c", NOW);
+        assertTrue(mQuarantine.givenUp("one"));
+    }
+
+    @Test
+    public void countsARepeatedReportOnce() {
+        mQuarantine.recordCrash(List.of("task"), "a", NOW);
+        assertEquals(mQuarantine.recordCrash(List.of("task"), "a", NOW), List.of());
+        assertEquals(mQuarantine.crashes("task"), 1);
+    }
+
+    @Test
+    public void clearsATaskThatSucceeds() {
+        mQuarantine.recordCrash(List.of("task"), "a", NOW);
+        mQuarantine.recordDone("task");
+        assertFalse(mQuarantine.suspected("task"));
+    }
+
+    @Test
+    public void neverReturnsATaskToATargetThatCrashedUnderIt() {
+        mQuarantine.recordCrash(List.of("task"), "a", NOW);
+        assertFalse(mQuarantine.admits("task", "queue", "a"));
+        assertTrue(mQuarantine.admits("task", "queue", "b"));
+    }
+
+    @Test
+    public void confinesAQueueToTargetsThatNoOtherQueueUses() {
+        mQuarantine.recordGivenUp("bad", NOW);
+        for (String sidecar : SIDECARS) {
+            boolean confined = mQuarantine.admits("x", "bad", sidecar);
+            assertEquals(mQuarantine.admits("y", "good", sidecar), !confined);
+        }
+        assertEquals(
+                SIDECARS.stream().filter(name -> mQuarantine.admits("x", "bad", name)).count(), 1);
+        mQuarantine.onTick(NOW + 10_000);
+        assertTrue(SIDECARS.stream().allMatch(name -> mQuarantine.admits("x", "bad", name)));
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -182,7 +182,6 @@
     void giveUpIfDeadly(String task) {
         ActiveJob job = mState.mJobs.get(TaskNames.jobOf(task));
         if (job != null && mState.mQuarantine.givenUp(task)) {
-            mState.mQuarantine.confine(job.mQueue.name(), mState.mNow);
             end(job, PoolAdmission.deadly(task));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/MixedHash.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/MixedHash.java
@@ -9,6 +9,7 @@
 
     private MixedHash() {}
 
+    /** Returns the hash of a text. */
     public static int of(String text) {
         int hash = text.hashCode() * MULTIPLIER;
         return (hash ^ hash >>> HALF_INT_BITS) * MULTIPLIER;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -213,6 +213,9 @@
     }
 
     private void onCrashed(SidecarView sidecar, PlacedRun placed) {
+        if (mState.mQuarantine.givenUp(placed.mRun.task())) {
+            mState.mQuarantine.recordGivenUp(placed.mTask.mJob.mQueue.name(), mState.mNow);
+        }
         mState.count(PoolEntryCounter.TASKS_CRASHED);
         mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
         logRetry(sidecar, placed, "crashed");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.jackdawsaddle.internal.pool.MixedHash;
 
@@ -28,10 +29,16 @@
 
     private final CrashHistory mHistory = new CrashHistory();
 
-    /** When the confinement of each confined queue ends, in milliseconds since the epoch. */
-    private final Map<String, Long> mConfinedUntil = new HashMap<>();
+    /** How many tasks of each queue were given up since no queue was confined. */
+    private final Map<String, Integer> mGivenUpCounts = new HashMap<>();
 
-    /** The names of the sidecars whose targets are for confined queues. */
+    /** The confined queue: that with the most tasks given up. */
+    private Optional<String> mConfinedQueue = Optional.empty();
+
+    /** When the confinement ends, in milliseconds since the epoch. */
+    private long mConfinedUntil;
+
+    /** The names of the sidecars whose targets are for the confined queue. */
     private Set<String> mMembers = Set.of();
 
     /**
@@ -43,7 +50,7 @@
      */
     public List<String> recordCrash(List<String> tasks, String sidecar, long now) {
         if (!tasks.isEmpty() && mMembers.contains(sidecar)) {
-            mConfinedUntil.replaceAll((queue, until) -> now + CONFINEMENT_MILLIS);
+            mConfinedUntil = now + CONFINEMENT_MILLIS;
         }
         List<String> added =
                 tasks.stream().filter(task -> !mHistory.crashedAt(task, sidecar)).toList();
@@ -60,9 +67,16 @@
         mHistory.recordDone(task);
     }
 
-    /** Confines a queue for a while, as one of its tasks was given up. */
-    public void confine(String queue, long now) {
-        mConfinedUntil.put(queue, now + CONFINEMENT_MILLIS);
+    /**
+     * Records that a task of a queue was given up, and confines the queue for a while. An innocent
+     * task is given up now and then, so only the queue with the most such tasks is confined.
+     */
+    public void recordGivenUp(String queue, long now) {
+        int count = mGivenUpCounts.merge(queue, 1, Integer::sum);
+        if (mConfinedQueue.map(mGivenUpCounts::get).orElse(0) <= count) {
+            mConfinedQueue = Optional.of(queue);
+        }
+        mConfinedUntil = now + CONFINEMENT_MILLIS;
     }
 
     /** Returns how many targets have crashed under a task. */
@@ -82,11 +96,11 @@
 
     /** Returns whether a queue is confined. */
     public boolean confined(String queue) {
-        return mConfinedUntil.containsKey(queue);
+        return mConfinedQueue.filter(queue::equals).isPresent();
     }
 
     /**
-     * Chooses the targets for confined queues.
+     * Chooses the targets for the confined queue.
      *
      * @param sidecars the names of the sidecars of one service in each list
      */
@@ -109,14 +123,17 @@
     }
 
     private boolean admitsQueue(String queue, String sidecar) {
-        return mConfinedUntil.isEmpty()
+        return mConfinedQueue.isEmpty()
                 || mMembers.isEmpty()
                 || confined(queue) == mMembers.contains(sidecar);
     }
 
-    /** Ends what is over: confinements, and the memory of crashes. */
+    /** Ends what is over: the confinement, and the memory of crashes. */
     public void onTick(long now) {
         mHistory.evictExpired(now);
-        mConfinedUntil.values().removeIf(until -> until <= now);
+        if (mConfinedUntil <= now) {
+            mConfinedQueue = Optional.empty();
+            mGivenUpCounts.clear();
+        }
     }
 }
