--- a/jackdawsaddle.test/tst/org/jackdawsaddle/PoolSidecarServiceTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/PoolSidecarServiceTest.java
@@ -11,7 +11,6 @@
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.jackdawsaddle.pool.PoolSidecarConfig;
-import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.jackdawsaddle.pool.TargetStore;
@@ -45,7 +44,7 @@
         }
 
         @Override
-        public CompletableFuture<Optional<RunSnapshot>> poll(
+        public CompletableFuture<PollReply> poll(
                 TargetIncarnation target,
                 Optional<Long> leaseUntil,
                 long ackCursor,
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -57,6 +57,8 @@
     int mSucceededJobCount;
     int mFailedJobCount;
 
+    final DeadlyTasks mDeadlyTasks = new DeadlyTasks();
+
     /** Number of messages between entries and sidecars, by type. */
     final Map<String, Long> mMessageCounts = new TreeMap<>();
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
@@ -6,12 +6,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.testng.annotations.BeforeMethod;
@@ -198,7 +198,7 @@
         RunSnapshot snapshot = new RunSnapshot(5, 0, running, ended);
         handle(
                 new PoolSidecarEvent.PollAnswered(
-                        mLastPoll.target(), mLastPoll.number(), Optional.of(snapshot)));
+                        mLastPoll.target(), mLastPoll.number(), new PollReply.Answered(snapshot)));
     }
 
     private void handle(PoolSidecarEvent event) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetPollTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetPollTest.java
@@ -9,6 +9,7 @@
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -43,7 +44,8 @@
 
     private void answer(long number, RunSnapshot snapshot) {
         mCore.handle(
-                new PoolSidecarEvent.PollAnswered(TARGET, number, Optional.of(snapshot)), mNow);
+                new PoolSidecarEvent.PollAnswered(TARGET, number, new PollReply.Answered(snapshot)),
+                mNow);
     }
 
     /** Returns the number of the poll that is requested now. */
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -3,7 +3,6 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -24,8 +23,8 @@
 import org.jackdawsaddle.internal.wire.WireControlLoop;
 import org.jackdawsaddle.internal.wire.WireThreads;
 import org.jackdawsaddle.pool.PoolSidecarConfig;
-import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 import org.jackdawsaddle.pool.TargetStore;
@@ -193,11 +192,11 @@
                                         poll.ackCursor(),
                                         poll.waitMillis(),
                                         poll.fencingToken()),
-                        Optional.<RunSnapshot>empty())
-                .thenAccept(snapshot ->
+                        new PollReply.Unanswered())
+                .thenAccept(reply ->
                         post(
                                 new PoolSidecarEvent.PollAnswered(
-                                        poll.target(), poll.number(), snapshot)));
+                                        poll.target(), poll.number(), reply)));
     }
 
     private void sendStartOrder(PoolSidecarAction.StartRun start) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -27,7 +27,16 @@
         if (!endsBeforeShutdown(job)) {
             return Optional.of(refusal(job, SHUTTING_DOWN));
         }
-        return Optional.empty();
+        return job.mTasks.stream()
+                .map(task -> task.mName)
+                .filter(mState.mQuarantine::givenUp)
+                .findFirst()
+                .map(PoolAdmission::deadly);
+    }
+
+    /** Returns the answer to a job with a task under which too many targets have crashed. */
+    static PoolAnswer deadly(String task) {
+        return new PoolAnswer.Failed("task " + task + " crashed every target that started it");
     }
 
     private static PoolAnswer refusal(ActiveJob job, String reason) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -114,8 +114,10 @@
         sidecar.onHeard(mState.mNow);
         switch (message) {
             case PoolMessage.Room room -> onRoom(sidecar, room);
-            case PoolMessage.TaskReports reports ->
-                    reports.reports().forEach(report -> onReport(sidecar, report));
+            case PoolMessage.TaskReports reports -> {
+                recordCrashes(sidecar, reports.reports());
+                reports.reports().forEach(report -> onReport(sidecar, report));
+            }
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from a sidecar: " + message);
@@ -127,6 +129,9 @@
         if (report.kind() == ReportKind.HELD) {
             return;
         }
+        if (report.kind() == ReportKind.CRASHED) {
+            mJobs.giveUpIfDeadly(report.run().task());
+        }
         Optional<PlacedRun> removed = mJobs.removeRun(sidecar, report.run());
         if (removed.isEmpty()) {
             return;
@@ -142,6 +147,7 @@
                 logRetry(sidecar, placed, "cut off");
                 mJobs.requeue(placed);
             }
+            case CRASHED -> onCrashed(sidecar, placed);
             case NO_ROOM, NOT_SERVING ->
                     onNotStarted(sidecar, placed, report.kind(), REFUSED_BACKOFF_MILLIS);
             case REJECTED -> onNotStarted(sidecar, placed, report.kind(), REJECTED_BACKOFF_MILLIS);
@@ -191,6 +197,35 @@
         mJobs.onTaskFailed(placed);
     }
 
+    /** Records the tasks under which the target has crashed, of this entry and of others. */
+    private void recordCrashes(SidecarView sidecar, List<TaskReport> reports) {
+        List<String> tasks =
+                reports.stream()
+                        .filter(report -> report.kind() == ReportKind.CRASHED)
+                        .map(report -> report.run().task())
+                        .toList();
+        mState.mQuarantine
+                .recordCrash(tasks, sidecar.node().name(), mState.mNow)
+                .forEach(task ->
+                        EventLog.line(Event.TASK_SUSPECTED)
+                                .with("job", TaskNames.jobOf(task))
+                                .with("task", task)
+                                .with("target", sidecar.mHello.target())
+                                .with("crashes", mState.mQuarantine.crashes(task))
+                                .with("given_up", mState.mQuarantine.givenUp(task))
+                                .write());
+    }
+
+    private void onCrashed(SidecarView sidecar, PlacedRun placed) {
+        if (mState.mQuarantine.givenUp(placed.mRun.task())) {
+            mState.mQuarantine.recordGivenUp(placed.mTask.mJob.mQueue.name(), mState.mNow);
+        }
+        mState.count(PoolEntryCounter.TASKS_CRASHED);
+        mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
+        logRetry(sidecar, placed, "crashed");
+        mJobs.requeue(placed);
+    }
+
     private void logRetry(SidecarView sidecar, PlacedRun placed, String outcome) {
         if (!placed.mStopRequested) {
             EventLog.line(Event.TASK_RETRIED)
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -0,0 +1,71 @@
+package org.jackdawsaddle.internal.pool.sidecar;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.message.PoolMessage.Run;
+
+/** The runs of a target that are not known to have ended, in the order of their start. */
+final class HeldRuns {
+    private final Map<Run, HeldRun> mRuns = new LinkedHashMap<>();
+
+    void add(HeldRun held) {
+        mRuns.put(held.mStartTask.run(), held);
+    }
+
+    void remove(HeldRun held) {
+        mRuns.remove(held.mStartTask.run());
+    }
+
+    /** Returns a run; null if it is not held. */
+    HeldRun get(Run run) {
+        return mRuns.get(run);
+    }
+
+    boolean contains(Run run) {
+        return mRuns.containsKey(run);
+    }
+
+    boolean isEmpty() {
+        return mRuns.isEmpty();
+    }
+
+    Set<Run> runs() {
+        return mRuns.keySet();
+    }
+
+    Collection<HeldRun> values() {
+        return mRuns.values();
+    }
+
+    /** Returns the demand of all runs. */
+    Demand used() {
+        return mRuns.values().stream()
+                .map(held -> held.mStartTask.demand())
+                .reduce(Demand.NONE, Demand::plus);
+    }
+
+    boolean holdsTask(String task) {
+        return mRuns.keySet().stream().anyMatch(run -> run.task().equals(task));
+    }
+
+    /** Returns the entries that own the runs. */
+    Set<NodeId> owners() {
+        return mRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
+    }
+
+    /** Returns the ids of the jobs whose runs these entries own. */
+    List<String> jobsOf(Predicate<NodeId> owners) {
+        return mRuns.values().stream()
+                .filter(held -> owners.test(held.mOwner))
+                .map(HeldRun::job)
+                .distinct()
+                .toList();
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -39,6 +39,7 @@
     private final List<PoolSidecarAction> mActions = new ArrayList<>();
     private final long[] mCounts = new long[PoolSidecarCounter.values().length];
     private final Map<NodeId, EntryView> mEntries = new LinkedHashMap<>();
+    private final CrashedTasks mCrashedTasks = new CrashedTasks();
     private Optional<TargetIncarnation> mTarget = Optional.empty();
 
     /** When the latest announcement times out; 0 if there is none or the target withdrew it. */
@@ -90,7 +91,7 @@
             case PoolSidecarEvent.StopAnswered answered ->
                     mRuns.onStopAnswered(answered.run(), answered.confirmed());
             case PoolSidecarEvent.PollAnswered answered ->
-                    mRuns.onPollAnswered(answered.target(), answered.number(), answered.snapshot());
+                    mRuns.onPollAnswered(answered.target(), answered.number(), answered.reply());
             case PoolSidecarEvent.EntryConnected connected -> onConnected(connected.entry());
             case PoolSidecarEvent.EntryLost lost -> onLost(lost.entry());
             case PoolSidecarEvent.EntrySent sent -> onEntrySent(sent.entry(), sent.message());
@@ -103,9 +104,10 @@
     public List<PoolSidecarAction> actions() {
         mRuns.pollIfDue();
         if (mTarget.isPresent()) {
-            Set<NodeId> owners = mRuns.owners();
+            Set<NodeId> owners = mRuns.held().owners();
             PoolMessage.Room room =
-                    new PoolMessage.Room(free(), serving(), mNow, 0, mRuns.jobsOf(this::orphaned));
+                    new PoolMessage.Room(
+                            free(), serving(), mNow, 0, mRuns.held().jobsOf(this::orphaned));
             mEntries.forEach((entry, view) ->
                     view.takeUpdates(room, owners.contains(entry), mNow)
                             .forEach(update ->
@@ -142,7 +144,8 @@
 
     /** Returns the capacity of the target that its runs leave free; none without a target. */
     public Demand free() {
-        return mTarget.map(target -> target.capacity().minus(mRuns.used())).orElse(Demand.NONE);
+        return mTarget.map(target -> target.capacity().minus(mRuns.held().used()))
+                .orElse(Demand.NONE);
     }
 
     private void onAnnounced(TargetIncarnation target) {
@@ -211,12 +214,14 @@
     private void onWithdrawn(String targetName) {
         if (mTarget.filter(target -> target.id().equals(targetName)).isPresent()) {
             mAnnouncementExpiresAt = 0;
+            mRuns.onTargetLeft();
         }
     }
 
     private void onConnected(NodeId entry) {
         EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
         view.onConnected(mNow);
+        mCrashedTasks.reports().forEach(view::addReport);
         mTarget.ifPresent(target -> sendHello(entry, view, target));
     }
 
@@ -299,7 +304,10 @@
         if (!current || !serving()) {
             return Optional.of(ReportKind.NOT_SERVING);
         }
-        if (mRuns.holdsTask(task.run().task()) || !task.demand().fitsIn(free())) {
+        if (mCrashedTasks.contains(task.run().task())) {
+            return Optional.of(ReportKind.CRASHED);
+        }
+        if (mRuns.held().holdsTask(task.run().task()) || !task.demand().fitsIn(free())) {
             return Optional.of(ReportKind.NO_ROOM);
         }
         return Optional.empty();
@@ -323,7 +331,7 @@
             return Long.MAX_VALUE;
         }
         Demand free = free();
-        Set<NodeId> owners = mRuns.owners();
+        Set<NodeId> owners = mRuns.held().owners();
         long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(mTarget.get()));
         for (Map.Entry<NodeId, EntryView> entry : mEntries.entrySet()) {
             boolean ownsRuns = owners.contains(entry.getKey());
@@ -340,7 +348,7 @@
 
     private void onTick() {
         mLastTickAt = mNow;
-        Set<NodeId> owners = mRuns.owners();
+        Set<NodeId> owners = mRuns.held().owners();
         mEntries.forEach((entry, view) -> {
             if (view.connectionTimedOut(owners.contains(entry), mNow)) {
                 mActions.add(new PoolSidecarAction.DisconnectEntry(entry));
@@ -353,6 +361,7 @@
                         entry.getValue().reconnectTimedOut(mNow)
                                 && !owners.contains(entry.getKey()));
         mRuns.onTick();
+        mCrashedTasks.evictExpired(mNow);
         saveIfDue();
     }
 
@@ -365,9 +374,15 @@
     }
 
     /**
-     * Queues a report until the entry is connected; drops it if the entry is not known any more.
+     * Queues a report until the entry is connected; drops it if the entry is not known any more. A
+     * crash is reported to all entries, as any of them may get the job next.
      */
     private void report(NodeId owner, Run run, ReportKind kind) {
+        if (kind == ReportKind.CRASHED && !mCrashedTasks.contains(run.task())) {
+            mCrashedTasks.add(run, mNow);
+            mEntries.values().forEach(view -> view.addReport(new TaskReport(run, kind)));
+            return;
+        }
         EntryView view = mEntries.get(owner);
         if (view != null) {
             view.addReport(new TaskReport(run, kind));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -1,23 +1,18 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.jackdawsaddle.NodeId;
-import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.log.Event;
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
 import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
@@ -33,17 +28,12 @@
     private static final long POLL_RETRY_MILLIS = 50;
     private static final long STOP_RETRY_MILLIS = 100;
 
-    /** Reports the state of a run to the entry that owns it. */
-    interface Reporter {
-        void report(NodeId owner, Run run, ReportKind kind);
-    }
-
     private final List<PoolSidecarAction> mActions;
-    private final Reporter mReporter;
+    private final RunReporter mReporter;
     private final Consumer<PoolSidecarCounter> mCounter;
     private final long mFencingToken;
     private final TargetLiveness mLiveness;
-    private final Map<Run, HeldRun> mHeldRuns = new LinkedHashMap<>();
+    private final HeldRuns mHeldRuns = new HeldRuns();
     private final RecentEnds mRecentEnds = new RecentEnds();
 
     private Optional<TargetIncarnation> mTarget = Optional.empty();
@@ -57,7 +47,7 @@
 
     RunTable(
             List<PoolSidecarAction> actions,
-            Reporter reporter,
+            RunReporter reporter,
             Consumer<PoolSidecarCounter> counter,
             long fencingToken,
             long leaseMillis) {
@@ -78,7 +68,7 @@
         return mHeldRuns.isEmpty() && mSentAckCursor == mAckCursor;
     }
 
-    /** Returns whether the target answers polls; see {@link TargetLiveness#responsive}. */
+    /** See {@link TargetLiveness#responsive}. */
     boolean responsive() {
         return mLiveness.responsive();
     }
@@ -91,45 +81,29 @@
         return mReconciled;
     }
 
-    /** Returns the demand of all runs that are not known to have ended. */
-    Demand used() {
-        return mHeldRuns.values().stream()
-                .map(held -> held.mStartTask.demand())
-                .reduce(Demand.NONE, Demand::plus);
-    }
-
-    boolean holdsTask(String task) {
-        return mHeldRuns.keySet().stream().anyMatch(run -> run.task().equals(task));
-    }
-
-    /** Returns the entries that own the held runs. */
-    Set<NodeId> owners() {
-        return mHeldRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
-    }
-
-    List<String> jobsOf(Predicate<NodeId> owners) {
-        return mHeldRuns.values().stream()
-                .filter(held -> owners.test(held.mOwner))
-                .map(HeldRun::job)
-                .distinct()
-                .toList();
+    /** Returns the runs that are not known to have ended. */
+    HeldRuns held() {
+        return mHeldRuns;
     }
 
     /** Returns the state of a run; {@code NOT_SERVING} if there is no record of it. */
     ReportKind statusOf(Run run) {
-        return mHeldRuns.containsKey(run)
+        return mHeldRuns.contains(run)
                 ? ReportKind.HELD
                 : mRecentEnds.find(run).orElse(ReportKind.NOT_SERVING);
     }
 
     void onTarget(TargetIncarnation target, boolean sameIncarnation) {
         mTarget = Optional.of(target);
+        if (target.leaving()) {
+            onTargetLeft();
+        }
         mLiveness.recordClock(target.clock());
         if (!sameIncarnation) {
             EventLog.line(Event.TARGET_FOUND)
                     .with("target", target.id())
                     .with("started_at", target.startedAt())
-                    .with("runs", mHeldRuns.size())
+                    .with("runs", mHeldRuns.runs().size())
                     .write();
             mCounter.accept(PoolSidecarCounter.TARGET_LIVES);
             reconcileWithNewIncarnation();
@@ -142,6 +116,13 @@
         }
     }
 
+    /** Records that the target leaves, or has left: the runs lost with it have not crashed it. */
+    void onTargetLeft() {
+        mHeldRuns.values().stream()
+                .filter(held -> current(held.mTarget))
+                .forEach(held -> held.mTargetLeft = true);
+    }
+
     /**
      * Lets the first snapshot of a new incarnation show which runs are left: it may have started
      * runs that were ordered from the previous one. Orders in flight still await their answers.
@@ -158,7 +139,7 @@
         if (mHeldRuns.isEmpty()) {
             mLiveness.recordHeard();
         }
-        mHeldRuns.put(task.run(), new HeldRun(owner, task));
+        mHeldRuns.add(new HeldRun(owner, task, target));
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
@@ -258,36 +239,56 @@
         }
     }
 
-    void onPollAnswered(TargetIncarnation target, long number, Optional<RunSnapshot> answer) {
+    void onPollAnswered(TargetIncarnation target, long number, PollReply reply) {
         if (number != mPollNumber || !current(target)) {
             return;
         }
         mPollInFlight = false;
-        if (answer.filter(snapshot -> snapshot.isOf(target)).isEmpty()) {
-            mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
+        switch (reply) {
+            case PollReply.Answered answered -> onSnapshot(target, number, answered.snapshot());
+            case PollReply.Unreachable unreachable -> {
+                mLiveness.recordUnreachable(target);
+                onPollFailed();
+            }
+            case PollReply.Unanswered unanswered -> {
+                mLiveness.recordUnanswered(target);
+                onPollFailed();
+            }
+        }
+    }
+
+    private void onPollFailed() {
+        mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
+        mPollDueAt = mNow + POLL_RETRY_MILLIS;
+        if (mLiveness.crashed()) {
+            mReconciled = false;
+            endAllAsLost(ReportKind.CRASHED);
+        }
+    }
+
+    private void onSnapshot(TargetIncarnation target, long number, RunSnapshot snapshot) {
+        if (!snapshot.isOf(target)) {
             mLiveness.recordUnanswered(target);
-            mPollDueAt = mNow + POLL_RETRY_MILLIS;
+            onPollFailed();
             return;
         }
-        RunSnapshot snapshot = answer.get();
         mLiveness.recordAnswered(snapshot.clock());
         snapshot.ended().forEach(this::onEnded);
         List<Run> running =
                 snapshot.running().stream().map(run -> new Run(run.task(), run.run())).toList();
         running.stream().map(mHeldRuns::get).filter(Objects::nonNull).forEach(HeldRun::markListed);
-        List<Run> unknown = running.stream().filter(run -> !mHeldRuns.containsKey(run)).toList();
+        List<Run> unknown = running.stream().filter(run -> !mHeldRuns.contains(run)).toList();
         unknown.forEach(this::stopUnknownRun);
         mReconciled = unknown.isEmpty();
         mPollDueAt = mReconciled ? mNow : mNow + POLL_RETRY_MILLIS;
-        List<HeldRun> missing =
-                mHeldRuns.values().stream()
-                        .filter(held -> held.mConclusivePoll <= number)
-                        .filter(held -> !running.contains(held.mStartTask.run()))
-                        .toList();
-        missing.forEach(held -> {
-            mCounter.accept(PoolSidecarCounter.RUNS_LOST);
-            end(held, ReportKind.ENDED);
-        });
+        mHeldRuns.values().stream()
+                .filter(held -> held.mConclusivePoll <= number)
+                .filter(held -> !running.contains(held.mStartTask.run()))
+                .toList()
+                .forEach(held ->
+                        endLost(
+                                held,
+                                current(held.mTarget) ? ReportKind.ENDED : ReportKind.CRASHED));
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
@@ -295,22 +296,10 @@
             return;
         }
         mAckCursor = ended.number();
-        Run run = new Run(ended.task(), ended.run());
-        ReportKind kind =
-                switch (ended.outcome()) {
-                    case DONE -> ReportKind.DONE;
-                    case FAILED -> ReportKind.FAILED;
-                    case CUT_OFF -> ReportKind.ENDED;
-                };
-        HeldRun held = mHeldRuns.get(run);
+        HeldRun held = mHeldRuns.get(new Run(ended.task(), ended.run()));
         if (held != null) {
-            mCounter.accept(
-                    switch (ended.outcome()) {
-                        case DONE -> PoolSidecarCounter.RUNS_DONE;
-                        case FAILED -> PoolSidecarCounter.RUNS_FAILED;
-                        case CUT_OFF -> PoolSidecarCounter.RUNS_CUT_OFF;
-                    });
-            end(held, kind);
+            mCounter.accept(RunOutcomes.counterOf(ended.outcome()));
+            end(held, RunOutcomes.kindOf(ended.outcome()));
         }
     }
 
@@ -327,12 +316,8 @@
                 sendStopOrder(held);
             }
         }
-        if (!mHeldRuns.isEmpty() && mLiveness.leaseHasExpired()) {
-            EventLog.line(Event.RUNS_LOST)
-                    .with("runs", mHeldRuns.keySet())
-                    .with("silent_ms", mLiveness.silentMillis())
-                    .write();
-            endAllAsLost();
+        if (mLiveness.leaseHasExpired()) {
+            endAllAsLost(ReportKind.ENDED);
         }
     }
 
@@ -381,16 +366,27 @@
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
 
-    private void endAllAsLost() {
-        for (HeldRun held : new ArrayList<>(mHeldRuns.values())) {
-            mCounter.accept(PoolSidecarCounter.RUNS_LOST);
-            end(held, ReportKind.ENDED);
+    private void endAllAsLost(ReportKind kind) {
+        if (mHeldRuns.isEmpty()) {
+            return;
         }
+        EventLog.line(Event.RUNS_LOST)
+                .with("runs", mHeldRuns.runs())
+                .with("silent_ms", mLiveness.silentMillis())
+                .with("crashed", kind == ReportKind.CRASHED)
+                .write();
+        List.copyOf(mHeldRuns.values()).forEach(held -> endLost(held, kind));
+    }
+
+    /** Ends a run without a reported end; a target that left was not crashed by it. */
+    private void endLost(HeldRun held, ReportKind kind) {
+        mCounter.accept(PoolSidecarCounter.RUNS_LOST);
+        end(held, held.mTargetLeft ? ReportKind.ENDED : kind);
     }
 
     private void end(HeldRun held, ReportKind kind) {
         Run run = held.mStartTask.run();
-        mHeldRuns.remove(run);
+        mHeldRuns.remove(held);
         mRecentEnds.add(run, kind);
         mReporter.report(held.mOwner, run, kind);
     }
