Log when a target announces another capacity

`target-resized` tells the new capacity and what is left of it, so that the logs show why a sidecar starts nothing while its runs use more than that.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -52,6 +52,8 @@
     TARGET_BARRED(10),
     /** A new incarnation of a target has been found. */
     TARGET_FOUND(10),
+    /** A target has announced another capacity while it runs. */
+    TARGET_RESIZED(10),
     /** A target is unresponsive to its sidecar and gets no new tasks. */
     TARGET_SILENT(10),
     /** A sidecar has connected and can be given tasks. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
@@ -157,6 +159,13 @@
         if (changed) {
             mEntries.forEach((entry, view) -> sendHello(entry, view, target));
         }
+        if (changed && sameIncarnation) {
+            EventLog.line(Event.TARGET_RESIZED)
+                    .with("target", target.id())
+                    .with("capacity", target.capacity())
+                    .with("free", free())
+                    .write();
+        }
     }
 
     /**
