Start roles without Log4j's plugins

A role's logging took 220 of the 540 ms of processor time of its main thread at the start: Log4j's own context loads all of its plugin classes (550 of them), whatever the configuration uses, and the template layout generates code for what it finds. Roles on the platform now log through a context of their own that implements Log4j's API: the same JSON lines (JsonLineLoggerTest compares them with the template's), written by one thread that drops what doesn't fit. It writes lines that wait in one call. Other commands log as before.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/Main.java
@@ -86,7 +86,7 @@
         if (startedByPlatform(arguments)) {
             // Until the role installs its own handler, a SIGHUP would end the process.
             Signal.handle(new Signal("HUP"), signal -> {});
-            ProcessLogs.installForRole();
+            RoleLoggerContext.install();
         } else if (arguments.length > 0 && arguments[0].equals(DEMO)) {
             ProcessLogs.installForDemo();
         }
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ProcessLogs.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/ProcessLogs.java
@@ -1,12 +1,10 @@
 package org.jackdawsaddle.pgm;
 
 import java.nio.file.Path;
-import java.util.function.Function;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.Layout;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
-import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.appender.FileAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
@@ -17,10 +15,8 @@
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
 
 /**
- * Configures logging as JSON lines, to standard output for a role on the platform and to a file for
- * the demo command. Lines are dropped if the output cannot keep up.
- *
- * <p>The configuration is built in code because parsing a file would delay a role's start.
+ * Configures the demo command's logging as JSON lines to a file. Lines are dropped if the output
+ * cannot keep up.
  */
 final class ProcessLogs {
     private static final String PROJECT_LOGGER = "org.jackdawsaddle";
@@ -29,17 +25,12 @@
 
     private ProcessLogs() {}
 
-    /** Logs to standard output; must be called before the first logger is created. */
-    static void installForRole() {
-        Configurator.initialize(new LogConfiguration(ProcessLogs::standardOutput));
-    }
-
     /**
      * Logs to {@link #demoFile}, so that the console shows the report alone; must be called before
      * the first logger is created.
      */
     static void installForDemo() {
-        Configurator.initialize(new LogConfiguration(ProcessLogs::demoOutput));
+        Configurator.initialize(new LogConfiguration());
     }
 
     /** Returns the log file of the demo command in this process. */
@@ -48,15 +39,6 @@
         return Path.of(System.getProperty("java.io.tmpdir"), name);
     }
 
-    private static Appender standardOutput(Configuration configuration) {
-        return ConsoleAppender.newBuilder()
-                .setName(OUTPUT_APPENDER)
-                .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-                .setConfiguration(configuration)
-                .setLayout(layout(configuration))
-                .build();
-    }
-
     private static Appender demoOutput(Configuration configuration) {
         return FileAppender.newBuilder()
                 .setName(OUTPUT_APPENDER)
@@ -75,17 +57,14 @@
 
     /** Logs through an asynchronous appender that drops lines instead of blocking. */
     private static final class LogConfiguration extends AbstractConfiguration {
-        private final transient Function<Configuration, Appender> mOutput;
-
-        LogConfiguration(Function<Configuration, Appender> output) {
+        LogConfiguration() {
             super(null, ConfigurationSource.NULL_SOURCE);
             isShutdownHookEnabled = false;
-            mOutput = output;
         }
 
         @Override
         protected void doConfigure() {
-            Appender output = mOutput.apply(this);
+            Appender output = demoOutput(this);
             output.start();
             addAppender(output);
             Appender async =
