Write a role's last log lines at its end, and log what libraries log by java.util.logging

Two faults of the roles' new logging, seen in review before it was landed. The property that picks the adapter of java.util.logging was misspelt; with log4j-core on the class path the other adapter casts to a class that roles don't use.

--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/LineWriter.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/LineWriter.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Returns whether lines are written. */
+    boolean running() {
+        return mThread.isAlive();
+    }
+
     /** Adds a line, which has its line separator, or drops it. Does not block. */
     void add(String line) {
         mLines.offer(line);
--- a/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/RoleLoggerContext.java
+++ b/jackdawsaddle.pgm/src/org/jackdawsaddle/pgm/RoleLoggerContext.java
@@ -34,7 +34,7 @@
     static void install() {
         System.setProperty(Provider.PROVIDER_PROPERTY_NAME, RoleProvider.class.getName());
         System.setProperty(
-                "log4j.jul.loggerAdapter", "org.apache.logging.log4j.jul.ApiLoggerAdapter");
+                "log4j.jul.LoggerAdapter", "org.apache.logging.log4j.jul.ApiLoggerAdapter");
     }
 
     /** Registers the context with Log4j, which creates it by the name of the class. */
@@ -68,6 +68,12 @@
             return mContext;
         }
 
+        /** Lets Log4j terminate the context, which writes the last lines. */
+        @Override
+        public boolean hasContext(String callerClass, ClassLoader loader, boolean current) {
+            return true;
+        }
+
         @Override
         public void removeContext(LoggerContext context) {
             // The context lasts as long as the process.
@@ -116,4 +122,9 @@
     public void terminate() {
         mWriter.stop();
     }
+
+    /** Returns whether lines are still written. */
+    boolean running() {
+        return mWriter.running();
+    }
 }
