Move the saving of the target's incarnation out of the sidecar's core

Behaviour is unchanged; the pool's tests, those of the command line, of shutdown and of the local platform pass.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -32,9 +32,6 @@
      */
     private static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 4_000;
 
-    /** Delay before another attempt to save the target's incarnation. */
-    private static final long SAVE_RETRY_MILLIS = 2_000;
-
     private final NodeId mSelf;
     private final String mDataCentre;
     private final RunTable mRuns;
@@ -50,11 +47,7 @@
     /** The newest configuration received; passed on to entries that have an older one. */
     private Optional<PoolMessage.ConfigurationPush> mConfigurationPush = Optional.empty();
 
-    /** The incarnation that was last loaded from the store or saved there. */
-    private Optional<TargetIncarnation> mSavedTarget = Optional.empty();
-
-    /** Before this time the target's incarnation is not saved. */
-    private long mSaveDueAt;
+    private final SavedTarget mSavedTarget = new SavedTarget();
 
     private boolean mLeaving;
 
@@ -181,33 +174,23 @@
      */
     private void onTargetLoaded(TargetIncarnation target) {
         if (mTarget.isEmpty() && target.startedAt() > 0) {
-            mSavedTarget = Optional.of(target);
+            mSavedTarget.onSaved(target);
             updateTarget(target);
         }
     }
 
     private void onTargetSaved(TargetIncarnation target, boolean saved) {
         if (saved) {
-            mSavedTarget = Optional.of(target);
+            mSavedTarget.onSaved(target);
         } else {
-            mSaveDueAt = mNow + SAVE_RETRY_MILLIS;
+            mSavedTarget.onSaveFailed(mNow);
         }
     }
 
-    /** Saves the target's incarnation unless it is saved already. */
     private void saveIfDue() {
-        if (mTarget.isEmpty() || mNow < mSaveDueAt) {
-            return;
-        }
-        TargetIncarnation target = mTarget.get();
-        if (!saved(target)) {
-            mSaveDueAt = mNow + SAVE_RETRY_MILLIS;
-            mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset()));
-        }
-    }
-
-    private boolean saved(TargetIncarnation target) {
-        return mSavedTarget.filter(target::sameIncarnation).isPresent();
+        mTarget.filter(target -> mSavedTarget.takeDue(target, mNow))
+                .ifPresent(target ->
+                        mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset())));
     }
 
     /**
@@ -352,7 +335,7 @@
     /** Returns when the target's announcement times out or its incarnation must be saved. */
     private long targetDeadline(TargetIncarnation target) {
         long expiresAt = mNow < mAnnouncementExpiresAt ? mAnnouncementExpiresAt : Long.MAX_VALUE;
-        return saved(target) ? expiresAt : Math.min(expiresAt, mSaveDueAt);
+        return Math.min(expiresAt, mSavedTarget.dueAt(target));
     }
 
     private void onTick() {
