--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -115,7 +115,9 @@
     private void refuseUnservable(List<WaitingJob> waiting) {
         if (!mState.mTimeline.discovering()) {
             List<WaitingJob> placeable =
-                    waiting.stream().filter(job -> mAdmission.everyTaskFits(job.job())).toList();
+                    waiting.stream()
+                            .filter(job -> mAdmission.everyTaskCouldFit(job.job()))
+                            .toList();
             mForecast
                     .refusals(placeable, mAdmission.coreShare(), mState.mNow)
                     .forEach(refusal -> end(refusal.job(), answer(refusal)));
@@ -226,7 +228,7 @@
     }
 
     private void endIfUnplaceable(ActiveJob job) {
-        if (mAdmission.everyTaskFits(job)) {
+        if (mAdmission.everyTaskCouldFit(job)) {
             refuseIfTooLate(job);
         } else if (mState.mNow - job.mArrivedAt >= DISCOVERY_TIMEOUT_MILLIS
                 && !mState.mTimeline.discovering()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolAdmission.java
@@ -21,7 +21,7 @@
         if (job.mTasks.isEmpty()) {
             return Optional.of(new PoolAnswer.Failed("the job has no tasks"));
         }
-        if (everyTaskFits(job) && !everyTaskFitsNow(job)) {
+        if (everyTaskCouldFit(job) && !everyTaskFitsNow(job)) {
             return Optional.of(refusal(job, "a task is larger than what targets have now"));
         }
         if (!endsBeforeShutdown(job)) {
@@ -52,7 +52,7 @@
      * Returns whether every task of a job would fit at least one known target when idle, with the
      * most capacity that the target has had: a shrunk capacity may grow again.
      */
-    boolean everyTaskFits(ActiveJob job) {
+    boolean everyTaskCouldFit(ActiveJob job) {
         return job.mJob.steps().stream()
                 .allMatch(step ->
                         mState.mSidecars.values().stream()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -43,7 +43,7 @@
      */
     record PeerSent(NodeId peer, PoolMessage message) implements PoolEntryEvent {}
 
-    /** The periodic timer has fired. */
+    /** The next tick is due. */
     record Tick() implements PoolEntryEvent {}
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -29,6 +29,9 @@
     /** The interval of heartbeats to sidecars on connections that are not active. */
     public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 10_000;
 
+    /** A sidecar answers a heartbeat on an idle connection if its last report is this old. */
+    public static final long IDLE_ANSWER_INTERVAL_MILLIS = 5_000;
+
     /** How long after its last report on an idle connection a sidecar reports unasked. */
     public static final long IDLE_REPORT_INTERVAL_MILLIS = 12_000;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -61,7 +61,7 @@
      */
     void onPing(PoolMessage.Ping ping, long now) {
         boolean starts = ping.watching() && !mWatching;
-        if (starts || now - mRoomSentAt >= PoolTiming.IDLE_HEARTBEAT_INTERVAL_MILLIS / 2) {
+        if (starts || now - mRoomSentAt >= PoolTiming.IDLE_ANSWER_INTERVAL_MILLIS) {
             mRoomSentAt = 0;
         }
         mWatching = ping.watching();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -121,7 +121,7 @@
 
     /**
      * Returns whether the sidecar accepts new tasks: the target is announced, responsive and not
-     * leaving, a snapshot of its incarnation has listed no run that this sidecar has not ordered,
+     * leaving, the latest snapshot of its incarnation lists no run that this sidecar does not hold,
      * and the sidecar is not about to stop.
      */
     public boolean serving() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarEvent.java
@@ -46,7 +46,7 @@
     /** A message from an entry has arrived. */
     record EntrySent(NodeId entry, PoolMessage message) implements PoolSidecarEvent {}
 
-    /** The periodic timer has fired. */
+    /** The next tick is due. */
     record Tick() implements PoolSidecarEvent {}
 
     /** The process is about to stop and must accept no new tasks. */
