--- a/review/2/SpecCase.java
+++ b/review/2/SpecCase.java
@@ -15,8 +15,8 @@
                 trouble
                         ? List.of("okse Bjørn, Førde work=50", "martillo, Talla Lítica work=50")
                         : List.of("okse Bjorn, Forde work=50", "martillo, Talla Litica work=50");
-        try (Deployment deployment = new Deployment(record, 2, 2, Deployment.INTERNAL_PORT)) {
-            deployment.configure(2, "hire-book", Jobs.HOST, Jobs.PREFIX);
+        try (Deployment deployment = new Deployment(record, 2, 2, Deployment.INTERNAL_PORT, false)) {
+            deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
             boolean broken = false;
--- a/review/3/CancelCase.java
+++ b/review/3/CancelCase.java
@@ -14,8 +14,8 @@
     }
 
     private static boolean play(CaseRecord record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 4, 4, Deployment.INTERNAL_PORT)) {
-            deployment.configure(2, "pedigree-clear", Jobs.HOST, Jobs.PREFIX);
+        try (Deployment deployment = new Deployment(record, 4, 4, Deployment.INTERNAL_PORT, false)) {
+            deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
             String id = Jobs.newId();
--- a/review/4/LostStopCase.java
+++ b/review/4/LostStopCase.java
@@ -19,12 +19,12 @@
     }
 
     private static boolean play(CaseRecord record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 4, 4, Proxy.PORT)) {
+        try (Deployment deployment = new Deployment(record, 4, 4, Proxy.PORT, false)) {
             List<Proxy> proxies = new ArrayList<>();
             for (Deployment.Machine edge : deployment.edges) {
-                proxies.add(new Proxy(edge.ip));
+                proxies.add(Proxy.beforeEntry(edge.ip));
             }
-            deployment.configure(2, "pedigree-clear", Jobs.HOST, Jobs.PREFIX);
+            deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
             Thread client = Thread.ofVirtual().start(() -> client(deployment));
--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -27,6 +27,10 @@
     private static final int CONTROL_PORT = 8166;
     private static final int STORE_PORT = 8169;
     private static final int RUNNER_PORT = 8080;
+
+    /** The route of {@link #configure}. */
+    record Route(String name, String prefix) {}
+
     private static final String[] ZONES = {"bergen-a", "forde-b", "voss-c", "stord-d"};
 
     /** One process of the system, which can be sent signals. */
@@ -60,21 +64,33 @@
     private final String mNet;
     private final List<Process> mProcesses = new ArrayList<>();
     private final int mSidecarPeerPort;
+    private final boolean mStoreProxied;
+    private Proxy mStoreProxy;
 
     /**
      * Starts a deployment.
      *
      * @param sidecarPeerPort the port at which sidecars reach the entries: INTERNAL_PORT, or that of
      *     a proxy
+     * @param storeProxied whether the processes reach the store through a proxy
      */
-    Deployment(CaseRecord record, int edgeCount, int sideCount, int sidecarPeerPort)
+    Deployment(
+            CaseRecord record,
+            int edgeCount,
+            int sideCount,
+            int sidecarPeerPort,
+            boolean storeProxied)
             throws Exception {
         this.record = record;
         mSidecarPeerPort = sidecarPeerPort;
         mTemp = Files.createTempDirectory("review");
         mNet = freeNet();
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
-        store = new Store(storeAddress());
+        store = new Store(mNet + "0.1:" + STORE_PORT);
+        mStoreProxied = storeProxied;
+        if (storeProxied) {
+            mStoreProxy = Proxy.between(mNet + "0.2:" + STORE_PORT, mNet + "0.1:" + STORE_PORT);
+        }
         for (int i = 0; i < edgeCount; i++) {
             String zone = ZONES[i % ZONES.length];
             edges.add(new Machine("edge-" + zone + "-" + (i / ZONES.length + 1), mNet + "1." + (i + 1)));
@@ -85,8 +101,13 @@
         }
     }
 
-    String storeAddress() {
-        return mNet + "0.1:" + STORE_PORT;
+    /** Returns the proxy before the store. */
+    Proxy storeProxy() {
+        return mStoreProxy;
+    }
+
+    private String storeAddress() {
+        return mNet + (mStoreProxied ? "0.2:" : "0.1:") + STORE_PORT;
     }
 
     /** Starts all processes and runners, and waits until every entry is ready. */
@@ -120,21 +141,25 @@
         Thread.sleep(2_000);
     }
 
-    /** Writes a configuration with one queue, as the operator does. */
-    void configure(long version, String queue, String host, String prefix) {
-        Map<String, Object> route = new LinkedHashMap<>();
-        route.put("name", queue);
-        route.put("host", host);
-        route.put("prefix", prefix);
-        route.put("service", SERVICE);
-        route.put("priority", 2);
-        route.put("maxAttempts", 2);
-        route.put("stretch", 1.6);
-        route.put("timeoutMs", 1_500);
-        route.put("targetDurationMs", 60);
+    /** Writes a configuration, as the operator does. */
+    void configure(long version, Route... routes) {
+        List<Object> rows = new ArrayList<>();
+        for (Route route : routes) {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("name", route.name());
+            row.put("host", Jobs.HOST);
+            row.put("prefix", route.prefix());
+            row.put("service", SERVICE);
+            row.put("priority", 2);
+            row.put("maxAttempts", 2);
+            row.put("stretch", 1.6);
+            row.put("timeoutMs", 1_500);
+            row.put("targetDurationMs", 60);
+            rows.add(row);
+        }
         Map<String, Object> config = new LinkedHashMap<>();
         config.put("version", version);
-        config.put("routes", List.of(route));
+        config.put("routes", rows);
         config.put("services", List.of(Map.of("name", SERVICE, "admissionControl", false)));
         config.put("limits", Map.of());
         store.put("op/config", Json.write(config));
--- a/review/lib/Jobs.java
+++ b/review/lib/Jobs.java
@@ -9,6 +9,7 @@
 final class Jobs {
     static final String HOST = "nony24.example";
     static final String PREFIX = "/lohu930/";
+    static final Deployment.Route ROUTE = new Deployment.Route("pedigree-clear", PREFIX);
 
     /** For a response that was sent at the end of the client's time and is still on its way. */
     private static final int ON_THE_WAY_MILLIS = 200;
--- a/review/lib/Proxy.java
+++ b/review/lib/Proxy.java
@@ -8,9 +8,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Stands in the path of the channels that sidecars open to one entry. An entry tells its own address
- * to all that connect to it; the proxy puts its own port in its place, as a translator of addresses
- * does, so that all sidecars stay behind it. It can make the open channels go silent for good.
+ * Stands in the path of channels, and can make those that are open go silent for good.
+ *
+ * <p>Before an entry it also translates addresses: an entry tells its own address to all that connect
+ * to it, and the proxy puts its own port in its place, so that all sidecars stay behind it.
  */
 final class Proxy {
     static final int PORT = Deployment.INTERNAL_PORT + 1;
@@ -20,42 +21,56 @@
     }
 
     private final List<Link> mLinks = new CopyOnWriteArrayList<>();
+    private final String mTarget;
+    private final boolean mTranslating;
 
-    Proxy(String ip) throws IOException {
+    private Proxy(String address, String target, boolean translating) throws IOException {
+        mTarget = target;
+        mTranslating = translating;
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
-        server.bind(Http.address(ip + ":" + PORT), 64);
+        server.bind(Http.address(address), 64);
         Thread.ofVirtual().start(() -> {
             while (true) {
                 try {
-                    open(server.accept(), ip);
+                    open(server.accept());
                 } catch (IOException e) {
-                    // The entry is not up yet: the channel is closed, and the sidecar tries again.
+                    // The target is not up yet: the channel is closed, and the sidecar tries again.
                 }
             }
         });
     }
 
+    /** Returns a proxy before an entry, at the next port of its address. */
+    static Proxy beforeEntry(String ip) throws IOException {
+        return new Proxy(ip + ":" + PORT, ip + ":" + Deployment.INTERNAL_PORT, true);
+    }
+
+    /** Returns a proxy between two addresses. */
+    static Proxy between(String address, String target) throws IOException {
+        return new Proxy(address, target, false);
+    }
+
     /** Makes the channels that are open now silent, without a reset; new ones work. */
     void silence() {
         mLinks.forEach(link -> link.silent = true);
         mLinks.clear();
     }
 
-    private void open(Socket client, String ip) throws IOException {
-        Socket entry = new Socket();
+    private void open(Socket client) throws IOException {
+        Socket target = new Socket();
         try {
-            entry.connect(Http.address(ip + ":" + Deployment.INTERNAL_PORT), 1_000);
+            target.connect(Http.address(mTarget), 1_000);
         } catch (IOException e) {
             client.close();
             throw e;
         }
         client.setTcpNoDelay(true);
-        entry.setTcpNoDelay(true);
+        target.setTcpNoDelay(true);
         Link link = new Link();
         mLinks.add(link);
-        Thread.ofVirtual().start(() -> pump(client, entry, link, false));
-        Thread.ofVirtual().start(() -> pump(entry, client, link, true));
+        Thread.ofVirtual().start(() -> pump(client, target, link, false));
+        Thread.ofVirtual().start(() -> pump(target, client, link, mTranslating));
     }
 
     private void pump(Socket from, Socket to, Link link, boolean translate) {
