--- a/review/4/LostStopCase.java
+++ b/review/4/LostStopCase.java
@@ -1,6 +1,4 @@
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 
 /**
  * The channels between an entry and the sidecars go silent just before a job's time budget ends; the
@@ -19,18 +17,16 @@
     }
 
     private static boolean play(CaseRecord record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 4, 4, Proxy.PORT, false)) {
-            List<Proxy> proxies = new ArrayList<>();
-            for (Deployment.Machine edge : deployment.edges) {
-                proxies.add(Proxy.beforeEntry(edge.ip));
-            }
+        try (Deployment deployment = new Deployment(record, 4, 4, true, false)) {
             deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
             Thread client = Thread.ofVirtual().start(() -> client(deployment));
             if (trouble) {
                 Thread.sleep(SILENT_AFTER_MILLIS);
-                proxies.forEach(Proxy::silence);
+                for (Deployment.Machine side : deployment.sides) {
+                    deployment.entryProxies(side).forEach(Proxy::silence);
+                }
                 record.line("the open channels between entries and sidecars go silent");
             }
             client.join();
--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -63,26 +63,26 @@
     private final Path mTemp;
     private final String mNet;
     private final List<Process> mProcesses = new ArrayList<>();
-    private final int mSidecarPeerPort;
+    private final boolean mEntriesProxied;
+    private final Map<Machine, List<Proxy>> mEntryProxies = new LinkedHashMap<>();
     private final boolean mStoreProxied;
     private Proxy mStoreProxy;
 
     /**
      * Starts a deployment.
      *
-     * @param sidecarPeerPort the port at which sidecars reach the entries: INTERNAL_PORT, or that of
-     *     a proxy
+     * @param entriesProxied whether each sidecar reaches the entries through proxies of its own
      * @param storeProxied whether the processes reach the store through a proxy
      */
     Deployment(
             CaseRecord record,
             int edgeCount,
             int sideCount,
-            int sidecarPeerPort,
+            boolean entriesProxied,
             boolean storeProxied)
             throws Exception {
         this.record = record;
-        mSidecarPeerPort = sidecarPeerPort;
+        mEntriesProxied = entriesProxied;
         mTemp = Files.createTempDirectory("review");
         mNet = freeNet();
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
@@ -101,6 +101,15 @@
         }
     }
 
+    /** Returns the proxies between a sidecar and the entries, in the order of the entries. */
+    List<Proxy> entryProxies(Machine side) {
+        return mEntryProxies.get(side);
+    }
+
+    private int sidecarPeerPort(Machine side) {
+        return INTERNAL_PORT + (mEntriesProxied ? 1 + sides.indexOf(side) : 0);
+    }
+
     /** Returns the proxy before the store. */
     Proxy storeProxy() {
         return mStoreProxy;
@@ -117,6 +126,12 @@
         }
         for (int i = 0; i < sides.size(); i++) {
             Machine side = sides.get(i);
+            if (mEntriesProxied) {
+                mEntryProxies.put(side, new ArrayList<>());
+                for (Machine edge : edges) {
+                    mEntryProxies.get(side).add(Proxy.beforeEntry(edge.ip, sidecarPeerPort(side)));
+                }
+            }
             start(side, "sidecar", ZONES[i % ZONES.length]);
             runners.add(
                     new Runner(
@@ -209,7 +224,7 @@
     private Map<String, Object> settings(Machine machine, String role, String zone) {
         List<Object> seeds = new ArrayList<>();
         edges.stream().limit(3).forEach(edge -> seeds.add(edge.ip + ":" + CONTROL_PORT));
-        long peerPort = role.equals("sidecar") ? mSidecarPeerPort : INTERNAL_PORT;
+        long peerPort = role.equals("sidecar") ? sidecarPeerPort(machine) : INTERNAL_PORT;
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("node", machine.name);
         settings.put("zone", zone);
--- a/review/lib/Proxy.java
+++ b/review/lib/Proxy.java
@@ -14,19 +14,20 @@
  * to it, and the proxy puts its own port in its place, so that all sidecars stay behind it.
  */
 final class Proxy {
-    static final int PORT = Deployment.INTERNAL_PORT + 1;
-
     private static final class Link {
         volatile boolean silent;
     }
 
     private final List<Link> mLinks = new CopyOnWriteArrayList<>();
     private final String mTarget;
-    private final boolean mTranslating;
+    private final byte[] mTranslatedPort;
+
+    /** Until when bytes towards the target are held up, by System.nanoTime. */
+    private volatile long mCutUntilNanos = System.nanoTime();
 
-    private Proxy(String address, String target, boolean translating) throws IOException {
+    private Proxy(String address, String target, String translatedPort) throws IOException {
         mTarget = target;
-        mTranslating = translating;
+        mTranslatedPort = translatedPort.getBytes(StandardCharsets.US_ASCII);
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(Http.address(address), 64);
@@ -41,14 +42,26 @@
         });
     }
 
-    /** Returns a proxy before an entry, at the next port of its address. */
-    static Proxy beforeEntry(String ip) throws IOException {
-        return new Proxy(ip + ":" + PORT, ip + ":" + Deployment.INTERNAL_PORT, true);
+    /** Returns a proxy before an entry, for a sidecar that reaches the entries at the given port. */
+    static Proxy beforeEntry(String ip, int port) throws IOException {
+        String entry = ip + ":" + Deployment.INTERNAL_PORT;
+        return new Proxy(ip + ":" + port, entry, ":" + port);
     }
 
     /** Returns a proxy between two addresses. */
     static Proxy between(String address, String target) throws IOException {
-        return new Proxy(address, target, false);
+        return new Proxy(address, target, "");
+    }
+
+    /** Holds up the bytes towards the target on all channels, new ones included, for a time. */
+    void cutTowardsTarget(long millis) {
+        mCutUntilNanos = System.nanoTime() + millis * 1_000_000;
+    }
+
+    private void awaitCut() throws InterruptedException {
+        while (System.nanoTime() - mCutUntilNanos < 0) {
+            Thread.sleep(1);
+        }
     }
 
     /** Makes the channels that are open now silent, without a reset; new ones work. */
@@ -69,25 +82,28 @@
         target.setTcpNoDelay(true);
         Link link = new Link();
         mLinks.add(link);
-        Thread.ofVirtual().start(() -> pump(client, target, link, false));
-        Thread.ofVirtual().start(() -> pump(target, client, link, mTranslating));
+        Thread.ofVirtual().start(() -> pump(client, target, link, true));
+        Thread.ofVirtual().start(() -> pump(target, client, link, false));
     }
 
-    private void pump(Socket from, Socket to, Link link, boolean translate) {
+    private void pump(Socket from, Socket to, Link link, boolean towardsTarget) {
         byte[] buffer = new byte[65_536];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                if (towardsTarget) {
+                    awaitCut();
+                }
                 if (link.silent) {
                     continue;
                 }
-                if (translate) {
+                if (!towardsTarget && mTranslatedPort.length > 0) {
                     translate(buffer, n);
                 }
                 out.write(buffer, 0, n);
             }
-        } catch (IOException e) {
+        } catch (IOException | InterruptedException e) {
             // One side has closed the channel.
         }
         if (!link.silent) {
@@ -96,16 +112,15 @@
         }
     }
 
-    private static void translate(byte[] buffer, int length) {
+    private void translate(byte[] buffer, int length) {
         byte[] own = (":" + Deployment.INTERNAL_PORT).getBytes(StandardCharsets.US_ASCII);
-        byte[] other = (":" + PORT).getBytes(StandardCharsets.US_ASCII);
         for (int i = 0; i + own.length <= length; i++) {
             int k = 0;
             while (k < own.length && buffer[i + k] == own[k]) {
                 k++;
             }
             if (k == own.length) {
-                System.arraycopy(other, 0, buffer, i, other.length);
+                System.arraycopy(mTranslatedPort, 0, buffer, i, own.length);
             }
         }
     }
