--- a/review/3/LostStopCase.java
+++ b/review/3/LostStopCase.java
@@ -17,7 +17,7 @@
     }
 
     private static boolean play(CaseRecord record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 4, 4, true, false)) {
+        try (Deployment deployment = new Deployment(record, 4, 4, true)) {
             deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
--- a/review/4/SpecCase.java
+++ b/review/4/SpecCase.java
@@ -15,7 +15,7 @@
                 trouble
                         ? List.of("okse Bjørn, Førde work=50", "martillo, Talla Lítica work=50")
                         : List.of("okse Bjorn, Forde work=50", "martillo, Talla Litica work=50");
-        try (Deployment deployment = new Deployment(record, 2, 2, false, false)) {
+        try (Deployment deployment = new Deployment(record, 2, 2, false)) {
             deployment.configure(2, Jobs.ROUTE);
             deployment.start();
             Jobs.warmUp(deployment);
--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -65,32 +65,20 @@
     private final List<Process> mProcesses = new ArrayList<>();
     private final boolean mEntriesProxied;
     private final Map<Machine, List<Proxy>> mEntryProxies = new LinkedHashMap<>();
-    private final boolean mStoreProxied;
-    private Proxy mStoreProxy;
 
     /**
      * Starts a deployment.
      *
      * @param entriesProxied whether each sidecar reaches the entries through proxies of its own
-     * @param storeProxied whether the processes reach the store through a proxy
      */
-    Deployment(
-            CaseRecord record,
-            int edgeCount,
-            int sideCount,
-            boolean entriesProxied,
-            boolean storeProxied)
+    Deployment(CaseRecord record, int edgeCount, int sideCount, boolean entriesProxied)
             throws Exception {
         this.record = record;
         mEntriesProxied = entriesProxied;
         mTemp = Files.createTempDirectory("review");
         mNet = freeNet();
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
-        store = new Store(mNet + "0.1:" + STORE_PORT);
-        mStoreProxied = storeProxied;
-        if (storeProxied) {
-            mStoreProxy = Proxy.between(mNet + "0.2:" + STORE_PORT, mNet + "0.1:" + STORE_PORT);
-        }
+        store = new Store(storeAddress());
         for (int i = 0; i < edgeCount; i++) {
             String zone = ZONES[i % ZONES.length];
             edges.add(new Machine("edge-" + zone + "-" + (i / ZONES.length + 1), mNet + "1." + (i + 1)));
@@ -110,13 +98,8 @@
         return INTERNAL_PORT + (mEntriesProxied ? 1 + sides.indexOf(side) : 0);
     }
 
-    /** Returns the proxy before the store. */
-    Proxy storeProxy() {
-        return mStoreProxy;
-    }
-
     private String storeAddress() {
-        return mNet + (mStoreProxied ? "0.2:" : "0.1:") + STORE_PORT;
+        return mNet + "0.1:" + STORE_PORT;
     }
 
     /** Starts all processes and runners, and waits until every entry is ready. */
--- a/review/lib/Proxy.java
+++ b/review/lib/Proxy.java
@@ -8,9 +8,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Stands in the path of channels, and can make those that are open go silent for good.
+ * Stands in the path of the channels from one sidecar to one entry, and can make those that are open
+ * go silent for good.
  *
- * <p>Before an entry it also translates addresses: an entry tells its own address to all that connect
+ * <p>It also translates addresses: an entry tells its own address to all that connect
  * to it, and the proxy puts its own port in its place, so that all sidecars stay behind it.
  */
 final class Proxy {
@@ -22,9 +23,6 @@
     private final String mTarget;
     private final byte[] mTranslatedPort;
 
-    /** Until when bytes towards the target are held up, by System.nanoTime. */
-    private volatile long mCutUntilNanos = System.nanoTime();
-
     private Proxy(String address, String target, String translatedPort) throws IOException {
         mTarget = target;
         mTranslatedPort = translatedPort.getBytes(StandardCharsets.US_ASCII);
@@ -48,22 +46,6 @@
         return new Proxy(ip + ":" + port, entry, ":" + port);
     }
 
-    /** Returns a proxy between two addresses. */
-    static Proxy between(String address, String target) throws IOException {
-        return new Proxy(address, target, "");
-    }
-
-    /** Holds up the bytes towards the target on all channels, new ones included, for a time. */
-    void cutTowardsTarget(long millis) {
-        mCutUntilNanos = System.nanoTime() + millis * 1_000_000;
-    }
-
-    private void awaitCut() throws InterruptedException {
-        while (System.nanoTime() - mCutUntilNanos < 0) {
-            Thread.sleep(1);
-        }
-    }
-
     /** Makes the channels that are open now silent, without a reset; new ones work. */
     void silence() {
         mLinks.forEach(link -> link.silent = true);
@@ -92,18 +74,15 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-                if (towardsTarget) {
-                    awaitCut();
-                }
                 if (link.silent) {
                     continue;
                 }
-                if (!towardsTarget && mTranslatedPort.length > 0) {
+                if (!towardsTarget) {
                     translate(buffer, n);
                 }
                 out.write(buffer, 0, n);
             }
-        } catch (IOException | InterruptedException e) {
+        } catch (IOException e) {
             // One side has closed the channel.
         }
         if (!link.silent) {
