Repeat stops on a new connection of a sidecar

Cause: the entry sent the stops of the first attempt into connections that had gone silent. After the reconnection it asked for the state of the runs and ignored the answer HELD; the stops were not repeated.

LostStopTest on the code before: repeatsAStopThatWasLostInASilentConnection "lists don't have the same size expected [1] but found [0]"; its two other tests passed.

Change: on each new connection of a sidecar the entry repeats the stops of all runs there that were to be stopped. This works because both sides notice a silent connection within 0.6 s, and a sidecar that stays unreachable stops the runs itself after 0.9 s: both earlier than a caller sends its job again.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +28,7 @@
     final List<PoolEntryAction> mActions = new ArrayList<>();
 
     /** The stops to send with the next flush, by sidecar. */
-    private final Map<NodeId, List<Run>> mPendingStops = new LinkedHashMap<>();
+    private final Map<NodeId, Set<Run>> mPendingStops = new LinkedHashMap<>();
 
     private final long[] mCounts = new long[PoolEntryCounter.values().length];
     PoolConfiguration mConfiguration = PoolConfiguration.NONE;
@@ -96,11 +97,20 @@
 
     /**
      * Queues a stop of a run, which keeps its capacity until the sidecar reports its end. The stop
-     * is not repeated; it waits while the sidecar is not connected.
+     * waits while the sidecar is not connected, and must be repeated on its next connection.
      */
     void requestStop(SidecarView sidecar, PlacedRun placed) {
         placed.mStopRequested = true;
-        mPendingStops.computeIfAbsent(sidecar.node(), node -> new ArrayList<>()).add(placed.mRun);
+        mPendingStops
+                .computeIfAbsent(sidecar.node(), node -> new LinkedHashSet<>())
+                .add(placed.mRun);
+    }
+
+    /** Queues the stops of a sidecar again that a lost connection may not have delivered. */
+    void repeatStops(SidecarView sidecar) {
+        sidecar.mPlacedRuns.values().stream()
+                .filter(placed -> placed.mStopRequested)
+                .forEach(placed -> requestStop(sidecar, placed));
     }
 
     /** Turns the queued stops into one message for each connected sidecar. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -48,7 +48,8 @@
 
     /**
      * Records a sidecar or a change of its target. On a new connection the sidecar is asked for the
-     * state of each run placed there, as reports may have been lost.
+     * state of each run placed there, and stops are repeated, as the lost connection may not have
+     * delivered the last messages in either direction.
      */
     void onAnnounced(PoolMessage.Hello hello) {
         SidecarView sidecar =
@@ -65,6 +66,7 @@
             mState.mMembersVersion++;
             otherIncarnations(sidecar.node()).forEach(other -> other.mConnected = false);
             mState.send(sidecar, new PoolMessage.Resume(List.copyOf(sidecar.mPlacedRuns.keySet())));
+            mState.repeatStops(sidecar);
             if (hello.configurationVersion() > mState.mConfiguration.version()) {
                 // The answer contains the newer configuration.
                 mState.ping(sidecar);
