--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -3,6 +3,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
@@ -10,6 +13,7 @@
 import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.errors.ErrorCode;
 import org.jackdawsaddle.errors.JackdawException;
+import org.jackdawsaddle.errors.RequestInvalidException;
 import org.jackdawsaddle.internal.json.Json;
 
 /** Reads request bodies and writes responses without blocking a thread. */
@@ -77,13 +81,16 @@
     }
 
     /**
-     * Reads the request body and passes it to the handler, as {@link #dispatch} does. Any failure
-     * to read it is reported as {@link ErrorCode#BODY_TOO_LARGE}.
+     * Reads the request body, decodes it as UTF-8 whatever its content type says, as JSON has no
+     * other encoding, and passes it to the handler, as {@link #dispatch} does. A body that is not
+     * UTF-8 is answered with {@link ErrorCode#REQUEST_INVALID}, as replacing what cannot be decoded
+     * would change the text; any failure to read it with {@link ErrorCode#BODY_TOO_LARGE}.
      */
     public static void receiveBody(HttpServerExchange exchange, Consumer<String> handler) {
         exchange.getRequestReceiver()
-                .receiveFullString(
-                        (ignored, body) -> dispatch(exchange, () -> handler.accept(body)),
+                .receiveFullBytes(
+                        (ignored, body) ->
+                                dispatch(exchange, () -> handler.accept(decodeUtf8(body))),
                         (ignored, e) ->
                                 sendError(
                                         exchange,
@@ -91,6 +98,19 @@
                                         "The body could not be read."));
     }
 
+    /**
+     * Decodes a body.
+     *
+     * @throws RequestInvalidException if it is not well-formed UTF-8
+     */
+    private static String decodeUtf8(byte[] body) {
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
+        } catch (CharacterCodingException e) {
+            throw new RequestInvalidException("body: must be UTF-8");
+        }
+    }
+
     /**
      * Runs the handler on the current thread, which must not be blocked. A {@link JackdawException}
      * that it throws is sent as the response; otherwise the exchange stays open until the handler
