Stop the runs of a job whose caller's connection was closed or reset

Cause: between the body of a request and its response nothing read from the caller's connection, and no event would have stopped the job.

Change: the entry reads from the connection while the request awaits its response; the end of the stream or an error ends the call, and the job is abandoned unless other calls wait for it.

--- /dev/null
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
@@ -0,0 +1,146 @@
+package org.jackdawsaddle.internal.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jackdawsaddle.internal.runtime.Addresses;
+import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against work that goes on unnoticed after the client's connection was closed or reset. */
+public class ClientDisconnectsTest {
+    private static final String ADDRESS = "127.187.0.1:18187";
+    private static final int TIMEOUT_MILLIS = 5_000;
+    private static final int UNNOTICED_MILLIS = 300;
+    private static final long MAX_BODY_BYTES = 100_000;
+    private static final String REQUEST =
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+
+    /** A request that awaits its response. */
+    private record Pending(HttpServerExchange exchange, CompletableFuture<Void> disconnected) {
+        void respond() {
+            HttpExchanges.sendText(exchange, 200, "text/plain", "done");
+        }
+    }
+
+    private final BlockingQueue<Pending> mPending = new LinkedBlockingQueue<>();
+    private HttpServer mServer;
+    private Socket mClient;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        mPending.clear();
+        mServer = new HttpServer(ADDRESS, 1, MAX_BODY_BYTES, 0, this::onRequest);
+        mServer.start();
+        InetSocketAddress address = Addresses.parse(ADDRESS);
+        mClient = new Socket(address.getHostString(), address.getPort());
+        mClient.setSoTimeout(TIMEOUT_MILLIS);
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        mClient.close();
+        mServer.stop();
+    }
+
+    private void onRequest(HttpServerExchange exchange) {
+        HttpExchanges.receiveBody(
+                exchange,
+                body ->
+                        mPending.add(
+                                new Pending(exchange, HttpExchanges.clientDisconnected(exchange))));
+    }
+
+    @Test
+    public void noticesAResetConnection() throws Exception {
+        send(REQUEST);
+        Pending pending = nextRequest();
+        assertFalse(pending.disconnected().isDone());
+        reset();
+        pending.disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        pending.respond();
+    }
+
+    @Test
+    public void noticesAClosedConnection() throws Exception {
+        send(REQUEST);
+        Pending pending = nextRequest();
+        mClient.close();
+        pending.disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        pending.respond();
+    }
+
+    @Test
+    public void noticesAConnectionThatWasClosedBeforeItsRequestWasRead() throws Exception {
+        send(REQUEST);
+        mClient.close();
+        nextRequest().disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    public void servesFurtherRequestsOnAWatchedConnection() throws Exception {
+        for (int request = 0; request < 3; request++) {
+            send(REQUEST);
+            Pending pending = nextRequest();
+            Thread.sleep(UNNOTICED_MILLIS);
+            assertFalse(pending.disconnected().isDone());
+            pending.respond();
+            awaitResponse();
+        }
+    }
+
+    @Test
+    public void servesARequestThatArrivesBeforeTheResponseToTheOneBefore() throws Exception {
+        send(REQUEST);
+        Pending first = nextRequest();
+        send(REQUEST.substring(0, 20));
+        Thread.sleep(UNNOTICED_MILLIS);
+        send(REQUEST.substring(20));
+        Thread.sleep(UNNOTICED_MILLIS);
+        assertFalse(first.disconnected().isDone());
+        first.respond();
+        awaitResponse();
+        nextRequest().respond();
+        awaitResponse();
+    }
+
+    private void send(String text) throws IOException {
+        mClient.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void reset() throws IOException {
+        mClient.setSoLinger(true, 0);
+        mClient.close();
+    }
+
+    private Pending nextRequest() throws InterruptedException {
+        Pending pending = mPending.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertTrue(pending != null, "no request was read");
+        return pending;
+    }
+
+    /** Reads one response, whose last line is its body. */
+    private void awaitResponse() throws IOException {
+        InputStream in = mClient.getInputStream();
+        StringBuilder response = new StringBuilder();
+        while (!response.toString().endsWith("\r\n\r\ndone")) {
+            int next = in.read();
+            assertTrue(next >= 0, "the connection ended after: " + response);
+            response.append((char) next);
+        }
+        assertEquals(response.substring(0, 12), "HTTP/1.1 200");
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -137,15 +137,18 @@
      * Submits a job. A job with the id of an active one, or of one that succeeded or failed at this
      * entry in the last 10 s, gets the answer to that job.
      *
+     * @param callerLost completes when the caller no longer waits for the answer. The job is then
+     *     abandoned and its runs stopped, unless other calls wait for its answer
      * @return the answer; never completes exceptionally, and does not complete once the entry has
      *     stopped
      */
-    public CompletableFuture<PoolAnswer> submit(PoolJob job) {
+    public CompletableFuture<PoolAnswer> submit(PoolJob job, CompletableFuture<Void> callerLost) {
         long token = mLastToken.incrementAndGet();
         long start = System.nanoTime();
         CompletableFuture<PoolAnswer> answer = new CompletableFuture<>();
         mPendingAnswers.put(token, answer);
         post(new PoolEntryEvent.JobSubmitted(token, job));
+        callerLost.thenRun(() -> post(new PoolEntryEvent.CallerLost(token)));
         return answer.whenComplete(
                 (result, failure) -> mJobTimes.observeSince(start, result.outcome()));
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -128,6 +128,18 @@
                 });
     }
 
+    /**
+     * Watches the connection of a request until its response is complete; to be called on the I/O
+     * thread, once the body has been read.
+     *
+     * @return completes on the I/O thread once the client has closed or reset the connection. A
+     *     client that closes only its sending side, which HTTP clients do not, counts as gone; one
+     *     that pipelines requests is not watched.
+     */
+    public static CompletableFuture<Void> clientDisconnected(HttpServerExchange exchange) {
+        return ClientDisconnects.watch(exchange);
+    }
+
     /**
      * Passes the result of a future to the handler, which sends the response. If either fails, that
      * is sent as the response: a {@link JackdawException} as {@link #dispatch} does, anything else
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -188,6 +188,28 @@
         }
     }
 
+    /**
+     * Ends the job of a call whose caller has left, unless other callers wait for its answer: it
+     * may be sent again to another entry, which must not find its tasks still running.
+     */
+    void onCallerLost(long token) {
+        mState.mJobs.values().stream()
+                .filter(job -> job.mCallerTokens.contains(token))
+                .findFirst()
+                .ifPresent(job -> leave(job, token));
+    }
+
+    private void leave(ActiveJob job, long token) {
+        mState.count(PoolEntryCounter.CALLERS_LOST);
+        PoolAnswer answer = new PoolAnswer.Abandoned("its caller has left");
+        if (job.mCallerTokens.size() == 1) {
+            end(job, answer);
+        } else {
+            job.mCallerTokens.remove(token);
+            mAnswers.answerCaller(token, answer);
+        }
+    }
+
     /** Ends a job as abandoned, if it is active. */
     void cancel(String id) {
         ActiveJob job = mState.mJobs.get(id);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -52,6 +52,7 @@
         switch (event) {
             case PoolEntryEvent.JobSubmitted submitted ->
                     mJobs.submit(submitted.token(), submitted.job());
+            case PoolEntryEvent.CallerLost lost -> mJobs.onCallerLost(lost.token());
             case PoolEntryEvent.JobCancelled cancelled -> mJobs.cancel(cancelled.id());
             case PoolEntryEvent.ConfigurationRead read ->
                     mPeers.onConfiguration(read.configuration(), "the store");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -16,6 +16,8 @@
     JOBS_ABANDONED,
     /** Jobs cancelled by their caller. */
     JOBS_CANCELLED,
+    /** Calls whose caller left while their job was active. */
+    CALLERS_LOST,
     /** Requests for a job that is active or has a retained answer. */
     JOBS_JOINED,
     /** Runs placed on a sidecar. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -10,6 +10,9 @@
     /** A caller has submitted a job; the token identifies the call to answer. */
     record JobSubmitted(long token, PoolJob job) implements PoolEntryEvent {}
 
+    /** The caller of a call that was submitted with this token no longer waits for the answer. */
+    record CallerLost(long token) implements PoolEntryEvent {}
+
     /** A caller has cancelled a job. */
     record JobCancelled(String id) implements PoolEntryEvent {}
 
