Start no job that was read after its caller's connection was reset

Cause: a reset does not take back what lies in the receiver's buffer. An entry that was too busy to read at once took the request from a connection that had been reset, and ran it, while its caller had sent it again to another entry.

Without the look the new test fails: "expected [true] but found [false]".

Change: the entry looks at the connection as soon as the body has been read. A job whose caller has left ends in the batch in which it arrived, before any task is placed.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.jackdawsaddle.internal.runtime.Addresses;
@@ -29,8 +30,9 @@
     private static final String REQUEST =
             "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
 
-    /** A request that awaits its response. */
-    private record Pending(HttpServerExchange exchange, CompletableFuture<Void> disconnected) {
+    /** A request that awaits its response, and whether its client had left when it was read. */
+    private record Pending(
+            HttpServerExchange exchange, CompletableFuture<Void> disconnected, boolean leftBefore) {
         void respond() {
             HttpExchanges.sendText(exchange, 200, "text/plain", "done");
         }
@@ -39,15 +41,21 @@
     private final BlockingQueue<Pending> mPending = new LinkedBlockingQueue<>();
     private HttpServer mServer;
     private Socket mClient;
+    private volatile CountDownLatch mHoldUp;
 
     @BeforeMethod
     public void start() throws IOException {
         mPending.clear();
         mServer = new HttpServer(ADDRESS, 1, MAX_BODY_BYTES, 0, this::onRequest);
         mServer.start();
+        mClient = connect();
+    }
+
+    private static Socket connect() throws IOException {
         InetSocketAddress address = Addresses.parse(ADDRESS);
-        mClient = new Socket(address.getHostString(), address.getPort());
-        mClient.setSoTimeout(TIMEOUT_MILLIS);
+        Socket socket = new Socket(address.getHostString(), address.getPort());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
     }
 
     @AfterMethod
@@ -59,9 +67,24 @@
     private void onRequest(HttpServerExchange exchange) {
         HttpExchanges.receiveBody(
                 exchange,
-                body ->
-                        mPending.add(
-                                new Pending(exchange, HttpExchanges.clientDisconnected(exchange))));
+                body -> {
+                    CompletableFuture<Void> disconnected =
+                            HttpExchanges.clientDisconnected(exchange);
+                    mPending.add(new Pending(exchange, disconnected, disconnected.isDone()));
+                    holdUp();
+                });
+    }
+
+    /** Blocks the I/O thread while the test asks for it. */
+    private void holdUp() {
+        CountDownLatch holdUp = mHoldUp;
+        try {
+            if (holdUp != null) {
+                assertTrue(holdUp.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     @Test
@@ -90,6 +113,22 @@
         nextRequest().disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** A busy server reads requests late; their clients may have sent them again elsewhere. */
+    @Test
+    public void knowsAtOnceThatAConnectionWasResetBeforeItsRequestWasRead() throws Exception {
+        try (Socket other = connect()) {
+            CountDownLatch wasReset = new CountDownLatch(1);
+            mHoldUp = wasReset;
+            other.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            nextRequest();
+            send(REQUEST);
+            reset();
+            mHoldUp = null;
+            wasReset.countDown();
+            assertTrue(nextRequest().leftBefore());
+        }
+    }
+
     @Test
     public void servesFurtherRequestsOnAWatchedConnection() throws Exception {
         for (int request = 0; request < 3; request++) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/LostCallerTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/LostCallerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.testng.annotations.Test;
@@ -20,6 +21,16 @@
         assertTrue(mAnswers.get(0) instanceof PoolAnswer.Abandoned);
     }
 
+    @Test
+    public void startsNothingForACallerThatHasLeftBeforeItsRequestWasRead() {
+        mCore.handle(
+                new PoolEntryEvent.JobSubmitted(1, job("aa", 2, new Demand(4, 1, 0), 1_000)), mNow);
+        loseCaller(1);
+        advance(PoolTiming.HEARTBEAT_INTERVAL_MILLIS);
+        assertEquals(mOrders, List.of());
+        assertEquals(mAnswers.size(), 1);
+    }
+
     @Test
     public void dropsAWaitingJobWhoseCallerHasLeft() {
         submit("aa", 4, 8);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
@@ -111,6 +111,13 @@
     }
 
     void submit(String id, int tasks, Demand demand, long waitMillis) {
+        mLastToken++;
+        PoolJob job = job(id, tasks, demand, waitMillis);
+        mCore.handle(new PoolEntryEvent.JobSubmitted(mLastToken, job), mNow);
+        collectActions();
+    }
+
+    PoolJob job(String id, int tasks, Demand demand, long waitMillis) {
         PoolStep step =
                 new PoolStep(
                         tasks,
@@ -120,10 +127,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         0);
-        mLastToken++;
-        PoolJob job = new PoolJob(id, "checks", "payload", List.of(step), mNow + waitMillis);
-        mCore.handle(new PoolEntryEvent.JobSubmitted(mLastToken, job), mNow);
-        collectActions();
+        return new PoolJob(id, "checks", "payload", List.of(step), mNow + waitMillis);
     }
 
     void report(Order order, ReportKind kind) {
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -138,7 +138,8 @@
      * entry in the last 10 s, gets the answer to that job.
      *
      * @param callerLost completes when the caller no longer waits for the answer. The job is then
-     *     abandoned and its runs stopped, unless other calls wait for its answer
+     *     abandoned and its runs stopped, unless other calls wait for its answer; nothing is
+     *     started if it is complete already
      * @return the answer; never completes exceptionally, and does not complete once the entry has
      *     stopped
      */
@@ -147,12 +148,21 @@
         long start = System.nanoTime();
         CompletableFuture<PoolAnswer> answer = new CompletableFuture<>();
         mPendingAnswers.put(token, answer);
-        post(new PoolEntryEvent.JobSubmitted(token, job));
-        callerLost.thenRun(() -> post(new PoolEntryEvent.CallerLost(token)));
+        mLoop.execute(() -> submit(token, job, callerLost));
         return answer.whenComplete(
                 (result, failure) -> mJobTimes.observeSince(start, result.outcome()));
     }
 
+    private void submit(long token, PoolJob job, CompletableFuture<Void> callerLost) {
+        handle(new PoolEntryEvent.JobSubmitted(token, job));
+        if (callerLost.isDone()) {
+            // In the same batch, before any of its tasks is placed.
+            handle(new PoolEntryEvent.CallerLost(token));
+        } else {
+            callerLost.thenRun(() -> post(new PoolEntryEvent.CallerLost(token)));
+        }
+    }
+
     /**
      * Cancels a job: its callers get {@link PoolAnswer.Abandoned}. No effect if it is not active.
      */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
@@ -29,8 +29,9 @@
      * A connection on which the client has already sent more is not watched: its next request would
      * have to be read to get at the end of the connection.
      *
-     * @return completes once the client has closed or reset the connection. A client that closes
-     *     only its sending side, which HTTP clients do not, counts as gone.
+     * @return completes once the client has closed or reset the connection; is complete already if
+     *     it did so before its request was read. A client that closes only its sending side, which
+     *     HTTP clients do not, counts as gone.
      */
     static CompletableFuture<Void> watch(HttpServerExchange exchange) {
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)
@@ -42,6 +43,7 @@
         ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
         channel.getReadSetter().set(ignored -> watch.read());
         watch.mSource.resumeReads();
+        watch.read();
         return watch.mDisconnected;
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -132,9 +132,10 @@
      * Watches the connection of a request until its response is complete; to be called on the I/O
      * thread, once the body has been read.
      *
-     * @return completes on the I/O thread once the client has closed or reset the connection. A
-     *     client that closes only its sending side, which HTTP clients do not, counts as gone; one
-     *     that pipelines requests is not watched.
+     * @return completes on the I/O thread once the client has closed or reset the connection; is
+     *     complete already if it did so before its request was read. A client that closes only its
+     *     sending side, which HTTP clients do not, counts as gone; one that pipelines requests is
+     *     not watched.
      */
     public static CompletableFuture<Void> clientDisconnected(HttpServerExchange exchange) {
         return ClientDisconnects.watch(exchange);
