Ignore announcements that cannot be true

What operators of systems like ours saw: one odd entry of another writer among those of the runners, and processes that ended or followed the list no longer.

Cause here: the fields of an announcement, and of the incarnation that a sidecar saves in the store, were checked for their types, not for their values, and the newest start wins. An entry with a start in the far future, a port out of range or no capacity took the place of the real target for good; a label that is null failed the request. Deep nesting and numbers too large for their field were ignored before.

Evidence, on the code before: of six sidecars with odd saved incarnations the one with a start in the far future started no task in 10 s ("started by [1, 2, 3, 4, 5]"), and the others logged exceptions until their target's first announcement; an announcement with a null label was answered with 500.

Change: an incarnation is taken, announced or loaded, only if its values can be those of a real target; others are logged and ignored.

Measured: OddAnnouncementTest and AnnouncementCheckTest pass, without an unexpected exception in the log.

--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -11,6 +11,7 @@
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.pool.connection.PoolDialer;
+import org.jackdawsaddle.internal.pool.sidecar.AnnouncementCheck;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarAction;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCore;
 import org.jackdawsaddle.internal.pool.sidecar.PoolSidecarCounter;
@@ -81,7 +82,9 @@
         mLoop.start();
         mStore.load()
                 .thenAccept(target ->
-                        target.ifPresent(known -> post(new PoolSidecarEvent.TargetLoaded(known))));
+                        target.filter(this::plausible)
+                                .ifPresent(
+                                        known -> post(new PoolSidecarEvent.TargetLoaded(known))));
         mDialer.start();
         EventLog.line(Event.STARTED).with("sidecar", mSelf).write();
     }
@@ -100,9 +103,15 @@
         post(new PoolSidecarEvent.LeaveRequested());
     }
 
-    /** Handles an announcement of the target. */
+    /** Handles an announcement of the target; one that cannot be true is logged and ignored. */
     public void announce(TargetIncarnation target) {
-        post(new PoolSidecarEvent.TargetAnnounced(target));
+        if (plausible(target)) {
+            post(new PoolSidecarEvent.TargetAnnounced(target));
+        }
+    }
+
+    private boolean plausible(TargetIncarnation target) {
+        return AnnouncementCheck.plausible(target, mClock.now());
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -70,7 +70,7 @@
     ENTRY_FOUND(20),
     /** A new configuration is in force. */
     CONFIGURATION_APPLIED(10),
-    /** An external input could not be parsed and was ignored. */
+    /** An external input could not be parsed, or cannot be true, and was ignored. */
     INPUT_UNREADABLE(10),
     /** The store is unreachable. */
     STORE_LOST(10),
