--- a/jackdawsaddle.test/tst/org/jackdawsaddle/platform/LocalPlatformTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/LocalPlatformTest.java
@@ -93,6 +93,27 @@
         assertTrue(response.body().contains("failed"));
     }
 
+    /**
+     * Guards against an entry that runs out of memory, or counts capacity twice, for one odd job.
+     */
+    @Test
+    public void rejectsJobsWhoseNumbersCannotBeTrue() {
+        for (String steps :
+                new String[] {
+                    "{\"count\":2000000000,\"cpu\":1}",
+                    "{\"count\":9000,\"cpu\":1},{\"count\":9000,\"cpu\":1}",
+                    "{\"count\":1,\"cpu\":-16000}",
+                    "{\"count\":1,\"cpu\":1,\"memMb\":-1}",
+                    "{\"count\":1,\"cpu\":1,\"gpu\":-1}",
+                    "{\"count\":1,\"cpu\":1,\"estimateMs\":-1}",
+                    "{\"count\":1,\"cpu\":1,\"after\":[0]}",
+                    "{\"count\":1,\"cpu\":1,\"after\":[null]}"
+                }) {
+            String body = "{\"spec\":\"1 1\",\"bestEffort\":true,\"steps\":[" + steps + "]}";
+            assertEquals(send("POST", "/checks/00000000000000f1", body).status(), 400, steps);
+        }
+    }
+
     @Test
     public void ignoresUnreadableAnnouncements() {
         for (String body :
