Log a request body that is not UTF-8

It was refused with status 400 without a line in the log, so that an operator could not tell why. HttpExchangesTest passes; nothing else changes.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
@@ -52,6 +52,7 @@
         try {
             onRead(mSource.read(pooled.getBuffer()), pooled);
         } catch (IOException e) {
+            // The connection was reset; whoever watches logs what follows from it.
             pooled.close();
             onDisconnected();
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -15,6 +15,8 @@
 import org.jackdawsaddle.errors.JackdawException;
 import org.jackdawsaddle.errors.RequestInvalidException;
 import org.jackdawsaddle.internal.json.Json;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 
 /** Reads request bodies and writes responses without blocking a thread. */
 public final class HttpExchanges {
@@ -90,7 +92,8 @@
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (ignored, body) ->
-                                dispatch(exchange, () -> handler.accept(decodeUtf8(body))),
+                                dispatch(
+                                        exchange, () -> handler.accept(decodeUtf8(exchange, body))),
                         (ignored, e) ->
                                 sendError(
                                         exchange,
@@ -103,10 +106,14 @@
      *
      * @throws RequestInvalidException if it is not well-formed UTF-8
      */
-    private static String decodeUtf8(byte[] body) {
+    private static String decodeUtf8(HttpServerExchange exchange, byte[] body) {
         try {
             return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
         } catch (CharacterCodingException e) {
+            EventLog.line(Event.INPUT_UNREADABLE)
+                    .with("input", "body")
+                    .with("path", exchange.getRequestPath())
+                    .write();
             throw new RequestInvalidException("body: must be UTF-8");
         }
     }
