Announce a real address in PoolSidecarServiceTest

The test's target announced an empty address, which a sidecar now ignores as one that cannot be true: "polls: 0 expected [true] but found [false]". It names an address of loopback instead; what it asks for is unchanged.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/PoolSidecarServiceTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/PoolSidecarServiceTest.java
@@ -84,7 +84,15 @@
         sidecar.start();
         sidecar.announce(
                 new TargetIncarnation(
-                        "target", 5, 1, "ledger", "", new Demand(8, 500, 0), List.of(), false, 0));
+                        "target",
+                        5,
+                        1,
+                        "ledger",
+                        "127.0.0.1:1",
+                        new Demand(8, 500, 0),
+                        List.of(),
+                        false,
+                        0));
         boolean polled = gateway.mThirdPoll.await(WAIT_SECONDS, TimeUnit.SECONDS);
         sidecar.stop();
         assertTrue(polled, "polls: " + gateway.mPolls);
