Close the connection of a request that has timed out

What callers saw: nothing was reported.

Cause: Undertow's ClientConnection.close waits for the server to close as well, and sends no end of stream while a request awaits its response. A server that does not answer never closes.

Change: the connection is taken over from Undertow and closed at once.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jackdawsaddle.internal.runtime.Addresses;
 import org.jackdawsaddle.internal.runtime.HttpServer;
+import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -106,6 +107,31 @@
         pending.respond();
     }
 
+    @Test
+    public void noticesAClosedConnectionWhoseRequestArrivedInParts() throws Exception {
+        for (String part : REQUEST.split("(?<=\r\n\r\n)")) {
+            send(part);
+            Thread.sleep(UNNOTICED_MILLIS);
+        }
+        Pending pending = nextRequest();
+        mClient.close();
+        pending.disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        pending.respond();
+    }
+
+    @Test
+    public void noticesAClientWhoseRequestTimesOut() throws Exception {
+        UnixClock clock = new UnixClock();
+        HttpClient client = new HttpClient(clock, 1);
+        client.start();
+        try {
+            client.send(new HttpRequest("POST", ADDRESS, "/", "body", clock.now() + 100));
+            nextRequest().disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } finally {
+            client.stop();
+        }
+    }
+
     @Test
     public void noticesAConnectionThatWasClosedBeforeItsRequestWasRead() throws Exception {
         send(REQUEST);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpClient.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpClient.java
@@ -23,6 +23,8 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jackdawsaddle.ManagedService;
 import org.jackdawsaddle.internal.runtime.UnixClock;
 import org.xnio.IoUtils;
@@ -38,6 +40,7 @@
  * <p>Connections are reused, each for one request at a time. Thread-safe once started.
  */
 public final class HttpClient implements ManagedService {
+    private static final Logger LOG = LogManager.getLogger(HttpClient.class);
     private static final int BUFFER_BYTES = 4_096;
     private static final int MAX_POOLED_BUFFERS = 64;
 
@@ -124,6 +127,20 @@
         return Optional.empty();
     }
 
+    /**
+     * Closes a connection whose response is not awaited any more. {@link ClientConnection#close}
+     * would keep it open until the server closes it, which a server that does not respond never
+     * does; a connection that is taken over as if for another protocol can be closed at once.
+     */
+    private static void abort(ClientConnection connection) {
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            // It is closed already.
+            LOG.debug("No need to close the connection to {}", connection.getPeerAddress(), e);
+        }
+    }
+
     private interface FailureHandler {
         void handle(IOException cause);
     }
@@ -150,7 +167,7 @@
     private final class PendingRequest {
         final CompletableFuture<HttpResponse> mResponse = new CompletableFuture<>();
         final HttpRequest mRequest;
-        volatile ClientConnection mConnection;
+        volatile Optional<ClientConnection> mConnection = Optional.empty();
         volatile XnioExecutor.Key mTimeoutKey;
 
         PendingRequest(HttpRequest request) {
@@ -165,9 +182,9 @@
         }
 
         void onConnected(ClientConnection connection) {
-            mConnection = connection;
+            mConnection = Optional.of(connection);
             if (mResponse.isDone()) {
-                IoUtils.safeClose(connection);
+                abort(connection);
                 return;
             }
             connection
@@ -224,20 +241,20 @@
             if (mResponse.complete(response)) {
                 mIdleConnections
                         .computeIfAbsent(mRequest.address(), key -> new ConcurrentLinkedDeque<>())
-                        .addFirst(mConnection);
+                        .addFirst(mConnection.orElseThrow());
             }
         }
 
         private void onFailure(IOException cause) {
             mTimeoutKey.remove();
-            IoUtils.safeClose(mConnection);
+            mConnection.ifPresent(HttpClient::abort);
             mResponse.completeExceptionally(cause);
         }
 
         private void onTimeout() {
             String message = "No response from " + mRequest.address() + " before the deadline";
             if (mResponse.completeExceptionally(new TimeoutException(message))) {
-                IoUtils.safeClose(mConnection);
+                mConnection.ifPresent(HttpClient::abort);
             }
         }
     }
