Let callers of the soak close their connection and send again

One submission in ten is followed by one of a caller that closes its connection within 0.3 s, while its job of 1.5 s runs, and sends it again 1.3 s later to the other entry.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
@@ -12,7 +12,7 @@
 
 /**
  * Callers that submit random jobs. They resend a job to the next entry if it gets neither an answer
- * nor a refusal.
+ * nor a refusal. Some close the connection of their first request while its job, a long one, runs.
  */
 final class SoakCallers {
     private static final long RESPONSE_TIMEOUT_MILLIS = 3_000;
@@ -23,6 +23,14 @@
     private static final int MAX_CORES = 4;
     private static final int MAX_PAUSE_MILLIS = 80;
 
+    /** One in so many submissions is followed by one of a caller that closes its connection. */
+    private static final int IMPATIENT_INTERVAL = 10;
+
+    private static final int MAX_IMPATIENCE_MILLIS = 300;
+
+    /** Long enough to be still running when the job is sent again. */
+    private static final int IMPATIENT_WORK_MILLIS = 1_500;
+
     /** With these statuses an entry states that no task has run; the job is not resent. */
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(404, 429, 503);
 
@@ -43,12 +51,17 @@
 
     private final SoakFleet mFleet;
     private final Random mRandom;
+
+    /** Apart from the other numbers, so that these are the same as without impatient callers. */
+    private final Random mImpatience;
+
     private final List<SentJob> mSentJobs = new ArrayList<>();
     private final List<CompletableFuture<Void>> mPendingResponses = new ArrayList<>();
 
     SoakCallers(SoakFleet fleet, long seed) {
         mFleet = fleet;
         mRandom = new Random(seed);
+        mImpatience = new Random(~seed);
     }
 
     /**
@@ -60,6 +73,9 @@
         long end = mFleet.mClock.now() + durationMillis;
         while (mFleet.mClock.now() < end) {
             sendJob();
+            if (mImpatience.nextInt(IMPATIENT_INTERVAL) == 0) {
+                sendImpatiently();
+            }
             ProcessFleet.sleep(mRandom.nextInt(MAX_PAUSE_MILLIS));
         }
         mPendingResponses.forEach(CompletableFuture::join);
@@ -75,12 +91,29 @@
                         job.mTaskCount,
                         1 + mRandom.nextInt(MAX_WORK_MILLIS),
                         1 + mRandom.nextInt(MAX_CORES));
-        mPendingResponses.add(send(job, work, mRandom.nextInt(SoakFleet.ENTRIES), 1));
+        int entry = mRandom.nextInt(SoakFleet.ENTRIES);
+        mPendingResponses.add(send(job, work, entry, 1, RESPONSE_TIMEOUT_MILLIS));
     }
 
+    /** Sends a job and closes the connection soon, long before the time that the job declares. */
+    private void sendImpatiently() {
+        SentJob job = new SentJob(String.format("%016x", mImpatience.nextLong()), 1);
+        mSentJobs.add(job);
+        PlatformFixture.Work work = new PlatformFixture.Work(1, IMPATIENT_WORK_MILLIS, 1);
+        int entry = mImpatience.nextInt(SoakFleet.ENTRIES);
+        long closeAfterMillis = 1 + mImpatience.nextInt(MAX_IMPATIENCE_MILLIS);
+        mPendingResponses.add(send(job, work, entry, 1, closeAfterMillis));
+    }
+
+    /**
+     * Sends a job.
+     *
+     * @param closeAfterMillis when the connection is closed if there is no response, in
+     *     milliseconds from now
+     */
     private CompletableFuture<Void> send(
-            SentJob job, PlatformFixture.Work work, int entry, int attempt) {
-        long deadline = mFleet.mClock.now() + RESPONSE_TIMEOUT_MILLIS;
+            SentJob job, PlatformFixture.Work work, int entry, int attempt, long closeAfterMillis) {
+        long deadline = mFleet.mClock.now() + closeAfterMillis;
         HttpRequest request =
                 mFleet.mFixture.jobRequest(
                         entry, SoakFleet.QUEUE, job.mId, work, RESPONSE_TIMEOUT_MILLIS, deadline);
@@ -99,7 +132,7 @@
         return CompletableFuture.supplyAsync(
                         () -> null,
                         CompletableFuture.delayedExecutor(RESEND_MILLIS, TimeUnit.MILLISECONDS))
-                .thenCompose(nothing -> send(job, work, entry, attempt));
+                .thenCompose(nothing -> send(job, work, entry, attempt, RESPONSE_TIMEOUT_MILLIS));
     }
 
     /**
