--- a/jackdawsaddle.test/tst/org/jackdawsaddle/platform/LocalPlatformTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/LocalPlatformTest.java
@@ -82,7 +82,8 @@
         assertEquals(send("POST", "/checks/00000000000000b1", "{\"spec\":").status(), 400);
         assertEquals(send("POST", "/checks/00000000000000b2", "{\"steps\":[]}").status(), 400);
         String halfASurrogatePair =
-                "{\"spec\":\"1 1 \\ud83d\",\"bestEffort\":true,\"steps\":[{\"count\":1,\"cpu\":1}]}";
+                "{\"spec\":\"1 1 \\ud83d\",\"bestEffort\":true"
+                        + ",\"steps\":[{\"count\":1,\"cpu\":1}]}";
         assertEquals(send("POST", "/checks/00000000000000b5", halfASurrogatePair).status(), 400);
         String notBestEffort = "{\"spec\":\"1 1\",\"steps\":[{\"count\":1,\"cpu\":1}]}";
         assertEquals(send("POST", "/checks/00000000000000b3", notBestEffort).status(), 503);
