--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakCallers.java
@@ -28,6 +28,9 @@
 
     private static final int MAX_IMPATIENCE_MILLIS = 300;
 
+    /** Keeps the ids of impatient callers' jobs apart from those of all other callers. */
+    private static final long IMPATIENCE_SEED_OFFSET = 1_000_000_007;
+
     /** Long enough to be still running when the job is sent again. */
     private static final int IMPATIENT_WORK_MILLIS = 1_500;
 
@@ -61,7 +64,7 @@
     SoakCallers(SoakFleet fleet, long seed) {
         mFleet = fleet;
         mRandom = new Random(seed);
-        mImpatience = new Random(~seed);
+        mImpatience = new Random(seed + IMPATIENCE_SEED_OFFSET);
     }
 
     /**
