Tell why runs count as ended, how long stops take and how late processes are

Added, first as counters: why each run counts as ended without its target's word (omitted, replaced, lease expired, unreachable) at the sidecar; silent or replaced sidecars at the entry; the time from the end of a job to the news of the end of its last run; the delay of the control thread's ticks. Each has a log line: run-lost, sidecar-gone with its reason, job-stopped, process-late.

No decision changes.

--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -206,6 +206,7 @@
             String name = "jackdawsaddle_entry_" + counter.metricName();
             metrics.counter(name, "See docs/OPERATIONS.md", () -> mCore.counterValue(counter));
         }
+        mLoop.addTo(metrics);
         mCounts.addTo(metrics);
         mJobTimes.addTo(metrics);
         mCore.durations().addTo(metrics);
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -140,6 +140,7 @@
             String name = "jackdawsaddle_sidecar_" + counter.metricName();
             metrics.counter(name, "See docs/OPERATIONS.md", () -> mCore.counterValue(counter));
         }
+        mLoop.addTo(metrics);
         mCounts.addTo(metrics);
         mStartTimes.addTo(metrics);
         metrics.gauge("jackdawsaddle_serving", "1 if serving", () -> mServing ? 1 : 0);
--- a/jackdawsaddle/src/org/jackdawsaddle/explain/JobTimeline.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/explain/JobTimeline.java
@@ -53,6 +53,7 @@
                             Event.TARGET_SILENT,
                             Event.TARGET_BARRED,
                             Event.RUNS_LOST,
+                            Event.PROCESS_LATE,
                             Event.STORE_LOST,
                             Event.STORE_FOUND,
                             Event.CONFIGURATION_APPLIED)
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -50,8 +50,14 @@
      * Runs are considered ended, because their target was unresponsive for longer than their lease.
      */
     RUNS_LOST(10),
+    /** A run counts as ended although its target has not reported its end. */
+    RUN_LOST(30),
     /** A run exceeds its expected time by far; it is stopped, and its task placed elsewhere. */
     RUN_OVERDUE(20),
+    /** The last run of a job has ended after the job had. */
+    JOB_STOPPED(30),
+    /** A process has handled no events for longer than heartbeats allow for. */
+    PROCESS_LATE(10),
     /** A target is put on probation, because jobs fail there; not logged for overdue runs. */
     TARGET_BARRED(10),
     /** A new incarnation of a target has been found. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -43,6 +43,9 @@
     private boolean mEverPlaced;
     boolean mEnded;
 
+    /** When the job ended, in milliseconds since the epoch; 0 before that. */
+    long mEndedAt;
+
     /**
      * Creates a job of which no task has been placed.
      *
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.jackdawsaddle.pool.PoolJob;
@@ -140,12 +142,22 @@
             return Optional.empty();
         }
         if (placed.mTask.mJob.mEnded) {
-            String id = placed.mTask.mJob.mJob.id();
-            mState.mStoppingRunCounts.computeIfPresent(id, (key, n) -> n == 1 ? null : n - 1);
+            removeStoppingRun(placed.mTask.mJob);
         }
         return Optional.of(placed);
     }
 
+    /** Removes one of the runs that an ended job still has. */
+    private void removeStoppingRun(ActiveJob job) {
+        String id = job.mJob.id();
+        mState.mStoppingRunCounts.computeIfPresent(id, (key, n) -> n == 1 ? null : n - 1);
+        if (!mState.mStoppingRunCounts.containsKey(id)) {
+            long millis = mState.mNow - job.mEndedAt;
+            mState.mDurations.recordStopped(millis);
+            EventLog.line(Event.JOB_STOPPED).with("job", id).with("ms", millis).write();
+        }
+    }
+
     /** Makes a placed task wait for another run, unless its job has ended. */
     void requeue(PlacedRun placed) {
         placed.mTask.mJob.markWaiting(placed.mTask);
@@ -277,6 +289,7 @@
 
     private void end(ActiveJob job, PoolAnswer answer) {
         job.mEnded = true;
+        job.mEndedAt = mState.mNow;
         mState.mJobs.remove(job.mJob.id());
         stopRuns(job);
         mAnswers.answerAll(job, answer);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -30,6 +30,10 @@
     TASKS_CUT_OFF,
     /** Runs that were lost with their target. */
     TASKS_CRASHED,
+    /** Runs that count as ended because their sidecar was silent for too long. */
+    RUNS_SIDECAR_SILENT,
+    /** Runs that count as ended because a new process of their sidecar serves. */
+    RUNS_SIDECAR_REPLACED,
     /** Runs that were not started, except those with an outdated number. */
     TASKS_NOT_STARTED,
     /** Runs that were stopped because they took too long. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -84,7 +84,9 @@
         sidecar.onRoom(room);
         if (startsServing) {
             mState.mTimeline.recordSidecarServing();
-            otherIncarnations(sidecar.node()).forEach(this::forget);
+            otherIncarnations(sidecar.node())
+                    .forEach(other ->
+                            forget(other, "replaced", PoolEntryCounter.RUNS_SIDECAR_REPLACED));
         }
     }
 
@@ -264,7 +266,7 @@
                 onLost(sidecar.node());
             }
             if (!sidecar.mConnected && sidecar.silentMillis(mState.mNow) > mGoneAfterMillis) {
-                forget(sidecar);
+                forget(sidecar, "silent", PoolEntryCounter.RUNS_SIDECAR_SILENT);
             } else if (sidecar.mConnected) {
                 mStallDetector.check(sidecar);
             }
@@ -289,14 +291,21 @@
         mLastTickAt = mState.mNow;
     }
 
-    /** Removes a sidecar whose runs have certainly ended, and makes their tasks wait again. */
-    private void forget(SidecarView sidecar) {
+    /**
+     * Removes a sidecar whose runs have certainly ended, and makes their tasks wait again.
+     *
+     * @param reason why they have, for the log
+     * @param counter the counter of runs that end for this reason
+     */
+    private void forget(SidecarView sidecar, String reason, PoolEntryCounter counter) {
         EventLog.line(Event.SIDECAR_GONE)
                 .with("sidecar", sidecar.node())
+                .with("reason", reason)
                 .with("silent_ms", sidecar.silentMillis(mState.mNow))
                 .with("runs", sidecar.mPlacedRuns.keySet())
                 .write();
         for (Run run : List.copyOf(sidecar.mPlacedRuns.keySet())) {
+            mState.count(counter);
             mJobs.removeRun(sidecar, run).ifPresent(mJobs::requeue);
         }
         mState.mSidecars.remove(sidecar.node());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDurations.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDurations.java
@@ -3,7 +3,10 @@
 import org.jackdawsaddle.internal.runtime.LatencyHistogram;
 import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 
-/** Histograms of how long tasks waited for their first run, and of how long runs took. */
+/**
+ * Histograms of how long tasks waited for their first run, of how long runs took, and of how long
+ * the runs of ended jobs went on.
+ */
 public final class TaskDurations {
     private final LatencyHistogram mWaits =
             new LatencyHistogram(
@@ -13,6 +16,11 @@
             new LatencyHistogram(
                     "jackdawsaddle_run_seconds", "From the order of a run to the news of its end");
 
+    private final LatencyHistogram mStops =
+            new LatencyHistogram(
+                    "jackdawsaddle_stop_seconds",
+                    "From the end of a job with active runs to the news that the last has ended");
+
     /** Records that a run was placed; only the first run of a task counts. */
     void recordPlaced(TaskState task, long now) {
         if (task.mLastRunNumber == 1) {
@@ -25,9 +33,15 @@
         mRuns.observeMillis(now - placed.mPlacedAt, outcome);
     }
 
-    /** Adds both histograms to the metrics. */
+    /** Records the time from the end of a job to the report of the end of its last run. */
+    void recordStopped(long millis) {
+        mStops.observeMillis(millis, "stopped");
+    }
+
+    /** Adds the histograms to the metrics. */
     public void addTo(MetricsRegistry metrics) {
         mWaits.addTo(metrics);
         mRuns.addTo(metrics);
+        mStops.addTo(metrics);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunOutcomes.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunOutcomes.java
@@ -15,6 +15,15 @@
         };
     }
 
+    static PoolSidecarCounter counterOf(EndEvidence evidence) {
+        return switch (evidence) {
+            case OMITTED -> PoolSidecarCounter.RUNS_LOST_OMITTED;
+            case REPLACED -> PoolSidecarCounter.RUNS_LOST_REPLACED;
+            case LEASE_EXPIRED -> PoolSidecarCounter.RUNS_LOST_LEASE_EXPIRED;
+            case UNREACHABLE -> PoolSidecarCounter.RUNS_LOST_UNREACHABLE;
+        };
+    }
+
     static PoolSidecarCounter counterOf(RunSnapshot.Outcome outcome) {
         return switch (outcome) {
             case DONE -> PoolSidecarCounter.RUNS_DONE;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -22,10 +22,6 @@
  * requested after the order was answered omits it, or the target's lease has expired.
  */
 final class RunTable {
-    /** How long a poll waits for a run to end; a lost answer hides ended runs for as long. */
-    private static final long POLL_WAIT_MILLIS = 80;
-
-    private static final long POLL_RETRY_MILLIS = 50;
     private static final long STOP_RETRY_MILLIS = 100;
 
     private final List<PoolSidecarAction> mActions;
@@ -37,12 +33,8 @@
     private final RecentEnds mRecentEnds = new RecentEnds();
 
     private Optional<TargetIncarnation> mTarget = Optional.empty();
+    private final PollSchedule mPolls = new PollSchedule();
     private boolean mReconciled;
-    private long mPollNumber;
-    private boolean mPollInFlight;
-    private long mPollDueAt;
-    private long mAckCursor;
-    private long mSentAckCursor;
     private long mNow;
 
     RunTable(
@@ -61,11 +53,12 @@
     void advanceTo(long now) {
         mNow = now;
         mLiveness.advanceTo(now);
+        mPolls.advanceTo(now);
     }
 
     /** Returns whether no run is left and a poll that acknowledges all ended runs was sent. */
     boolean idle() {
-        return mHeldRuns.isEmpty() && mSentAckCursor == mAckCursor;
+        return mHeldRuns.isEmpty() && !mPolls.acknowledgementDue();
     }
 
     /** See {@link TargetLiveness#responsive}. */
@@ -108,10 +101,7 @@
             mCounter.accept(PoolSidecarCounter.TARGET_LIVES);
             reconcileWithNewIncarnation();
             mReconciled = false;
-            mPollInFlight = false;
-            mPollNumber++;
-            mAckCursor = 0;
-            mSentAckCursor = 0;
+            mPolls.onNewIncarnation();
             mLiveness.recordHeard();
         }
     }
@@ -130,7 +120,7 @@
     private void reconcileWithNewIncarnation() {
         mHeldRuns.values().stream()
                 .filter(held -> held.mState == HeldRun.State.RUNNING)
-                .forEach(held -> held.mConclusivePoll = mPollNumber + 2);
+                .forEach(held -> held.mConclusivePoll = mPolls.latest() + 2);
     }
 
     void start(NodeId owner, StartTask task) {
@@ -204,7 +194,7 @@
         mLiveness.recordHeard();
         if (held.mState == HeldRun.State.STARTING) {
             held.mState = HeldRun.State.RUNNING;
-            held.mConclusivePoll = mPollNumber + 1;
+            held.mConclusivePoll = mPolls.latest() + 1;
         }
     }
 
@@ -235,15 +225,14 @@
         held.mStopInFlight = false;
         if (confirmed) {
             mLiveness.recordHeard();
-            held.mConclusivePoll = mPollNumber + 1;
+            held.mConclusivePoll = mPolls.latest() + 1;
         }
     }
 
     void onPollAnswered(TargetIncarnation target, long number, PollReply reply) {
-        if (number != mPollNumber || !current(target)) {
+        if (!current(target) || !mPolls.onAnswered(number)) {
             return;
         }
-        mPollInFlight = false;
         switch (reply) {
             case PollReply.Answered answered -> onSnapshot(target, number, answered.snapshot());
             case PollReply.Unreachable unreachable -> {
@@ -259,10 +248,10 @@
 
     private void onPollFailed() {
         mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
-        mPollDueAt = mNow + POLL_RETRY_MILLIS;
+        mPolls.retryLater();
         if (mLiveness.crashed()) {
             mReconciled = false;
-            endAllAsLost(ReportKind.CRASHED);
+            endAllAsLost(ReportKind.CRASHED, EndEvidence.UNREACHABLE);
         }
     }
 
@@ -280,22 +269,28 @@
         List<Run> unknown = running.stream().filter(run -> !mHeldRuns.contains(run)).toList();
         unknown.forEach(this::stopUnknownRun);
         mReconciled = unknown.isEmpty();
-        mPollDueAt = mReconciled ? mNow : mNow + POLL_RETRY_MILLIS;
+        if (!mReconciled) {
+            mPolls.retryLater();
+        }
         mHeldRuns.values().stream()
                 .filter(held -> held.mConclusivePoll <= number)
                 .filter(held -> !running.contains(held.mStartTask.run()))
                 .toList()
-                .forEach(held ->
-                        endLost(
-                                held,
-                                current(held.mTarget) ? ReportKind.ENDED : ReportKind.CRASHED));
+                .forEach(this::endOmitted);
+    }
+
+    private void endOmitted(HeldRun held) {
+        if (current(held.mTarget)) {
+            endLost(held, ReportKind.ENDED, EndEvidence.OMITTED);
+        } else {
+            endLost(held, ReportKind.CRASHED, EndEvidence.REPLACED);
+        }
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
-        if (ended.number() <= mAckCursor) {
+        if (!mPolls.acknowledge(ended.number())) {
             return;
         }
-        mAckCursor = ended.number();
         HeldRun held = mHeldRuns.get(new Run(ended.task(), ended.run()));
         if (held != null) {
             mCounter.accept(RunOutcomes.counterOf(ended.outcome()));
@@ -317,7 +312,7 @@
             }
         }
         if (mLiveness.leaseHasExpired()) {
-            endAllAsLost(ReportKind.ENDED);
+            endAllAsLost(ReportKind.ENDED, EndEvidence.LEASE_EXPIRED);
         }
     }
 
@@ -326,7 +321,7 @@
         return mTarget.isPresent()
                 && (!mHeldRuns.isEmpty()
                         || !mReconciled
-                        || mSentAckCursor != mAckCursor
+                        || mPolls.acknowledgementDue()
                         || !mLiveness.responsive());
     }
 
@@ -337,7 +332,7 @@
      * another one is due.
      */
     long nextDeadline() {
-        long pollDueAt = pollNeeded() && !mPollInFlight ? mPollDueAt : Long.MAX_VALUE;
+        long pollDueAt = pollNeeded() ? mPolls.dueAt() : Long.MAX_VALUE;
         return mHeldRuns.values().stream()
                 .mapToLong(HeldRun::stopDueAt)
                 .reduce(pollDueAt, Math::min);
@@ -345,20 +340,18 @@
 
     /** Requests a poll if one is needed and due. */
     void pollIfDue() {
-        if (!pollNeeded() || mPollInFlight || mNow < mPollDueAt) {
+        if (!pollNeeded() || mNow < mPolls.dueAt()) {
             return;
         }
-        mPollInFlight = true;
-        mPollNumber++;
-        mSentAckCursor = mAckCursor;
+        mPolls.onSent();
         boolean renew = !mHeldRuns.isEmpty() && !mLiveness.leaseMayHaveExpired();
         mActions.add(
                 new PoolSidecarAction.Poll(
                         mTarget.get(),
-                        mPollNumber,
+                        mPolls.latest(),
                         renew ? Optional.of(mLiveness.nextLeaseEnd()) : Optional.empty(),
-                        mAckCursor,
-                        mHeldRuns.isEmpty() ? 0 : POLL_WAIT_MILLIS,
+                        mPolls.ackCursor(),
+                        mHeldRuns.isEmpty() ? 0 : PollSchedule.WAIT_MILLIS,
                         mFencingToken));
     }
 
@@ -366,24 +359,31 @@
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
 
-    private void endAllAsLost(ReportKind kind) {
+    private void endAllAsLost(ReportKind kind, EndEvidence evidence) {
         if (mHeldRuns.isEmpty()) {
             return;
         }
         EventLog.line(Event.RUNS_LOST)
                 .with("runs", mHeldRuns.runs())
                 .with("silent_ms", mLiveness.silentMillis())
-                .with("crashed", kind == ReportKind.CRASHED)
+                .with("evidence", evidence.logName())
                 .write();
-        List.copyOf(mHeldRuns.values()).forEach(held -> endLost(held, kind));
+        List.copyOf(mHeldRuns.values()).forEach(held -> endLost(held, kind, evidence));
     }
 
     /**
      * Ends a run without a reported end. Only a run that is known to have started may have crashed
      * its target, and only if the target had not left.
      */
-    private void endLost(HeldRun held, ReportKind kind) {
+    private void endLost(HeldRun held, ReportKind kind, EndEvidence evidence) {
         mCounter.accept(PoolSidecarCounter.RUNS_LOST);
+        mCounter.accept(RunOutcomes.counterOf(evidence));
+        RunLog.line(Event.RUN_LOST, held.mStartTask.run())
+                .with("target", held.mTarget.id())
+                .with("evidence", evidence.logName())
+                .with("state", held.mState)
+                .with("silent_ms", mLiveness.silentMillis())
+                .write();
         end(held, held.mayHaveCrashedTarget() ? kind : ReportKind.ENDED);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireControlLoop.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireControlLoop.java
@@ -9,7 +9,11 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.jackdawsaddle.ManagedService;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.runtime.ControlLoop;
+import org.jackdawsaddle.internal.runtime.LatencyHistogram;
+import org.jackdawsaddle.internal.runtime.MetricsRegistry;
 import org.jackdawsaddle.internal.runtime.TickDelay;
 
 /**
@@ -21,12 +25,19 @@
     private static final int MAX_BATCH = 256;
     private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
+    /** A tick that is later than this is logged. */
+    private static final long MAX_TICK_DELAY_MILLIS = 300;
+
     private final EventLoop mEventLoop;
     private final LongSupplier mTickMillis;
     private final Runnable mTick;
     private final Runnable mAfterBatch;
     private final Queue<Runnable> mQueue = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean mBatchScheduled = new AtomicBoolean();
+    private final LatencyHistogram mTickDelays =
+            new LatencyHistogram(
+                    "jackdawsaddle_tick_delay_seconds",
+                    "From when a tick of the control thread was due to its start");
     private volatile boolean mRunning;
 
     /** The timer of the next tick; null while none is scheduled. Event loop only. */
@@ -85,7 +96,9 @@
         }
         mBatchScheduled.set(false);
         runQueued();
-        if (System.nanoTime() - mTickDueNanos >= 0) {
+        long tickDelayNanos = System.nanoTime() - mTickDueNanos;
+        if (tickDelayNanos >= 0) {
+            recordTickDelay(TimeUnit.NANOSECONDS.toMillis(tickDelayNanos));
             cancelTimer();
             ControlLoop.runSafely(mTick);
         }
@@ -93,6 +106,18 @@
         scheduleTick();
     }
 
+    private void recordTickDelay(long millis) {
+        mTickDelays.observeMillis(millis, "tick");
+        if (millis > MAX_TICK_DELAY_MILLIS) {
+            EventLog.line(Event.PROCESS_LATE).with("ms", millis).write();
+        }
+    }
+
+    /** Adds the loop's metrics. */
+    public void addTo(MetricsRegistry metrics) {
+        mTickDelays.addTo(metrics);
+    }
+
     private void runQueued() {
         for (int count = 0; count < MAX_BATCH; count++) {
             Runnable work = mQueue.poll();
