Stop the runs of an entry that answers on no new connection

Cause: a sidecar took each opened connection, with the Welcome of the entry, for a working one and forgot when it had lost the entry. If what the sidecar sends does not arrive while connections still open, each reconnection within 300 ms restarted that time, so the runs were never stopped. The entry counts them as ended after 2.25 s of silence and starts the tasks elsewhere.

Change: the time since the loss goes on until a message of the entry arrives on the new connection. An entry sends one only in answer to the sidecar's Hello, so that shows that both directions work.

Evidence: OneWayCutTest.stopsRunsWhenTheEntryAnswersOnNoNewConnection failed before ("lists don't have the same size expected [1] but found [0]") and passes.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -133,18 +133,16 @@
     }
 
     /**
-     * Connects to each entry that is alive, reachable and not connected, now and at each {@link
-     * PoolSimulation#RECONNECT_INTERVAL_MILLIS}.
+     * Connects to each entry that is alive, not connected and can send a welcome, now and at each
+     * {@link PoolSimulation#RECONNECT_INTERVAL_MILLIS}. What the sidecar sends may be held back.
      */
     private void connectToEntries(int sidecarIncarnation) {
         if (!mAlive || sidecarIncarnation != mIncarnation) {
             return;
         }
         for (SimulatedEntry entry : mSimulation.mEntries) {
-            boolean partitioned =
-                    mSimulation.mLinksToSidecar[entry.mIndex][mIndex].mPartitioned
-                            || mSimulation.mLinksToEntry[entry.mIndex][mIndex].mPartitioned;
-            if (!mConnectionNumbers.containsKey(entry.mIndex) && entry.mAlive && !partitioned) {
+            boolean welcomed = !mSimulation.mLinksToSidecar[entry.mIndex][mIndex].mPartitioned;
+            if (!mConnectionNumbers.containsKey(entry.mIndex) && entry.mAlive && welcomed) {
                 long connectionNumber = ++mSimulation.mLastNumber;
                 NodeId node = new NodeId(entry.mName, entry.mIncarnation);
                 runIfAlive(
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -13,7 +13,14 @@
  */
 final class EntryView {
     private boolean mConnected;
+
+    /** When a message last arrived or, if that is later, when the connection was opened. */
     private long mLastHeardAt;
+
+    /**
+     * When the entry was lost; 0 if it has sent a message since. An open connection alone does not
+     * show that the entry receives anything.
+     */
     private long mLostAt;
 
     /** Whether the entry has asked to learn changes of the free capacity at once. */
@@ -48,11 +55,18 @@
 
     void onLost(long now) {
         mConnected = false;
-        mLostAt = now;
+        mLostAt = lost() ? mLostAt : now;
     }
 
+    /** Returns whether the connection was lost and no message has arrived since. */
+    boolean lost() {
+        return mLostAt > 0;
+    }
+
+    /** Records a message, which the entry only sends once it has received one. */
     void onHeard(long now) {
         mLastHeardAt = now;
+        mLostAt = 0;
     }
 
     /**
@@ -98,7 +112,7 @@
 
     /** Returns whether the entry was lost so long ago that its runs must end. */
     boolean reconnectTimedOut(long now) {
-        return !mConnected && now >= reconnectTimeoutAt();
+        return lost() && now >= reconnectTimeoutAt();
     }
 
     private long reconnectTimeoutAt() {
@@ -112,10 +126,14 @@
      * @param free the free capacity
      * @param ownsRuns whether the sidecar holds runs of the entry
      */
-    long nextDeadline(Demand free, boolean ownsRuns) {
-        return mConnected
-                ? Math.min(connectionTimeoutAt(ownsRuns) + 1, roomDueAt(free, ownsRuns))
-                : reconnectTimeoutAt();
+    long nextDeadline(Demand free, boolean ownsRuns, long now) {
+        if (!mConnected) {
+            return reconnectTimeoutAt();
+        }
+        long deadline = Math.min(connectionTimeoutAt(ownsRuns) + 1, roomDueAt(free, ownsRuns));
+        return lost() && !reconnectTimedOut(now)
+                ? Math.min(deadline, reconnectTimeoutAt())
+                : deadline;
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -327,7 +327,7 @@
         long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(mTarget.get()));
         for (Map.Entry<NodeId, EntryView> entry : mEntries.entrySet()) {
             boolean ownsRuns = owners.contains(entry.getKey());
-            deadline = Math.min(deadline, entry.getValue().nextDeadline(free, ownsRuns));
+            deadline = Math.min(deadline, entry.getValue().nextDeadline(free, ownsRuns, mNow));
         }
         return deadline;
     }
@@ -350,7 +350,8 @@
         mRuns.stopRunsOf(this::orphaned);
         mEntries.entrySet()
                 .removeIf(entry ->
-                        entry.getValue().reconnectTimedOut(mNow)
+                        !entry.getValue().connected()
+                                && entry.getValue().reconnectTimedOut(mNow)
                                 && !owners.contains(entry.getKey()));
         mRuns.onTick();
         mCrashedTasks.evictExpired(mNow);
@@ -358,7 +359,8 @@
     }
 
     /**
-     * Returns whether the runs of an entry must end: it is unknown, or lost and did not reconnect.
+     * Returns whether the runs of an entry must end: it is unknown, or was lost and has sent no
+     * message since.
      */
     private boolean orphaned(NodeId owner) {
         EntryView view = mEntries.get(owner);
