Adopt a restarted target as soon as it answers a poll

Cause: a target that starts again under its name takes orders before it announces itself. The sidecar ordered runs from it with leases by the clock of the earlier incarnation. The new one's clock starts anew, so it granted the longest lease, and each poll renewed that. The sidecar discarded every list of the new incarnation as no answer, and after six of them, 0.75 s after the order, counted the lease as expired and the runs as ended, while the target's own lists named them as running. Class: a run counts as ended because time has passed, against the target's word.

Change: a list of a later incarnation replaces the known one at once. Its clock counts from then on, runs that it does not list have ended (known some hundred milliseconds earlier than from the next announcement), and it gets no new tasks until it has announced its capacity.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -27,6 +27,7 @@
     PoolSidecarCore mCore;
     long mNow;
     private long mLastPollNumber;
+    private TargetIncarnation mPolledTarget;
     final List<Run> mStops = new ArrayList<>();
     final List<PoolSidecarAction.SendToEntry> mSent = new ArrayList<>();
 
@@ -63,21 +64,29 @@
 
     /** Answers the latest poll with a snapshot that lists these runs as running. */
     void answerPoll(Run... running) {
+        answerPollAs(TARGET, running);
+    }
+
+    /** The same as {@link #answerPoll}, but from another incarnation of the target. */
+    void answerPollAs(TargetIncarnation incarnation, Run... running) {
         List<RunSnapshot.Running> listed = new ArrayList<>();
         for (Run run : running) {
             listed.add(new RunSnapshot.Running(run.task(), run.run()));
         }
-        RunSnapshot snapshot = new RunSnapshot(TARGET.startedAt(), 0, listed, List.of());
+        RunSnapshot snapshot = new RunSnapshot(incarnation.startedAt(), 0, listed, List.of());
         handle(
                 new PoolSidecarEvent.PollAnswered(
-                        TARGET, mLastPollNumber, new PollReply.Answered(snapshot)));
+                        mPolledTarget, mLastPollNumber, new PollReply.Answered(snapshot)));
     }
 
     void handle(PoolSidecarEvent event) {
         mCore.handle(event, mNow);
         for (PoolSidecarAction action : mCore.actions()) {
             switch (action) {
-                case PoolSidecarAction.Poll poll -> mLastPollNumber = poll.number();
+                case PoolSidecarAction.Poll poll -> {
+                    mLastPollNumber = poll.number();
+                    mPolledTarget = poll.target();
+                }
                 case PoolSidecarAction.StopRun stop -> mStops.add(stop.run());
                 case PoolSidecarAction.SendToEntry send -> mSent.add(send);
                 default -> {}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/AnnouncementCheck.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/AnnouncementCheck.java
@@ -59,11 +59,21 @@
         if (!inRange(target.clock(), MAX_CLOCK_MILLIS)) {
             return Optional.of("clock");
         }
-        return inRange(target.startedAt(), now + MAX_CLOCK_LEAD_MILLIS)
+        return plausibleStart(target.startedAt(), now)
                 ? Optional.empty()
                 : Optional.of("startedAt");
     }
 
+    /**
+     * Returns whether an incarnation can have started at a time.
+     *
+     * @param startedAt in milliseconds since the epoch
+     * @param now the current time in milliseconds since the epoch
+     */
+    static boolean plausibleStart(long startedAt, long now) {
+        return inRange(startedAt, now + MAX_CLOCK_LEAD_MILLIS);
+    }
+
     private static boolean missing(String text) {
         return text == null || text.isBlank();
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -15,6 +15,8 @@
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 import org.jackdawsaddle.internal.pool.PoolTiming;
+import org.jackdawsaddle.pool.RunSnapshot;
+import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
 /**
@@ -26,12 +28,6 @@
  * whose entry has been disconnected for too long are stopped.
  */
 public final class PoolSidecarCore {
-    /**
-     * Without an announcement for this long, the target gets no new tasks: its capacity may have
-     * shrunk unheard.
-     */
-    private static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 4_000;
-
     private final NodeId mSelf;
     private final String mDataCentre;
     private final RunTable mRuns;
@@ -39,10 +35,7 @@
     private final long[] mCounts = new long[PoolSidecarCounter.values().length];
     private final Map<NodeId, EntryView> mEntries = new LinkedHashMap<>();
     private final CrashedTasks mCrashedTasks = new CrashedTasks();
-    private Optional<TargetIncarnation> mTarget = Optional.empty();
-
-    /** When the latest announcement times out; 0 if there is none or the target withdrew it. */
-    private long mAnnouncementExpiresAt;
+    private final KnownTarget mKnownTarget = new KnownTarget();
 
     /** The newest configuration received; passed on to entries that have an older one. */
     private Optional<PoolMessage.ConfigurationPush> mConfigurationPush = Optional.empty();
@@ -85,8 +78,7 @@
                     mRuns.onStartAnswered(answered.run(), answered.reply());
             case PoolSidecarEvent.StopAnswered answered ->
                     mRuns.onStopAnswered(answered.run(), answered.confirmed());
-            case PoolSidecarEvent.PollAnswered answered ->
-                    mRuns.onPollAnswered(answered.target(), answered.number(), answered.reply());
+            case PoolSidecarEvent.PollAnswered answered -> onPollAnswered(answered);
             case PoolSidecarEvent.EntryConnected connected -> onConnected(connected.entry());
             case PoolSidecarEvent.EntryLost lost -> onLost(lost.entry());
             case PoolSidecarEvent.EntrySent sent -> onEntrySent(sent.entry(), sent.message());
@@ -98,7 +90,7 @@
     /** Returns and clears the actions that events have caused since the last call. */
     public List<PoolSidecarAction> actions() {
         mRuns.pollIfDue();
-        if (mTarget.isPresent()) {
+        if (target().isPresent()) {
             Set<NodeId> owners = mRuns.held().owners();
             PoolMessage.Room room =
                     new PoolMessage.Room(
@@ -125,8 +117,7 @@
      * and the sidecar is not about to stop.
      */
     public boolean serving() {
-        return mTarget.filter(target -> !target.leaving()).isPresent()
-                && mNow < mAnnouncementExpiresAt
+        return mKnownTarget.available(mNow)
                 && mRuns.reconciled()
                 && mRuns.responsive()
                 && !mLeaving;
@@ -139,21 +130,32 @@
 
     /** Returns the capacity of the target that its runs leave free; none without a target. */
     public Demand free() {
-        return mTarget.map(target -> target.capacity().minus(mRuns.held().used()))
+        return target().map(target -> target.capacity().minus(mRuns.held().used()))
                 .orElse(Demand.NONE);
     }
 
+    private Optional<TargetIncarnation> target() {
+        return mKnownTarget.target();
+    }
+
     private void onAnnounced(TargetIncarnation target) {
-        if (mTarget.filter(known -> stale(target, known)).isEmpty()) {
-            mAnnouncementExpiresAt = mNow + ANNOUNCEMENT_TIMEOUT_MILLIS;
-            updateTarget(target);
+        if (!mKnownTarget.supersedes(target)) {
+            Optional<TargetIncarnation> before = target();
+            mKnownTarget.onAnnounced(target, mNow);
+            onTargetChanged(before, target);
         }
     }
 
-    private void updateTarget(TargetIncarnation target) {
-        boolean sameIncarnation = mTarget.filter(target::sameIncarnation).isPresent();
-        boolean changed = !sameIncarnation || !mTarget.get().capacity().equals(target.capacity());
-        mTarget = Optional.of(target);
+    /** Handles an incarnation that has not announced itself: it is only polled until it has. */
+    private void onDiscovered(TargetIncarnation target) {
+        Optional<TargetIncarnation> before = target();
+        mKnownTarget.onDiscovered(target);
+        onTargetChanged(before, target);
+    }
+
+    private void onTargetChanged(Optional<TargetIncarnation> before, TargetIncarnation target) {
+        boolean sameIncarnation = before.filter(target::sameIncarnation).isPresent();
+        boolean changed = !sameIncarnation || !before.get().capacity().equals(target.capacity());
         mRuns.onTarget(target, sameIncarnation);
         if (changed) {
             mEntries.forEach((entry, view) -> sendHello(entry, view, target));
@@ -173,12 +175,28 @@
      * once the target has announced itself.
      */
     private void onTargetLoaded(TargetIncarnation target) {
-        if (mTarget.isEmpty() && target.startedAt() > 0) {
+        if (target().isEmpty() && target.startedAt() > 0) {
             mSavedTarget.onSaved(target);
-            updateTarget(target);
+            onDiscovered(target);
         }
     }
 
+    private void onPollAnswered(PoolSidecarEvent.PollAnswered answered) {
+        if (answered.reply() instanceof PollReply.Answered reply) {
+            adoptIfRestarted(reply.snapshot());
+        }
+        mRuns.onPollAnswered(answered.target(), answered.number(), answered.reply());
+    }
+
+    /**
+     * Handles the first answer of an incarnation that has started since under the target's name. It
+     * may run what was ordered from the earlier one, under leases by its own clock, and its
+     * capacity is unknown until it announces itself.
+     */
+    private void adoptIfRestarted(RunSnapshot snapshot) {
+        mKnownTarget.restarted(snapshot, mNow).ifPresent(this::onDiscovered);
+    }
+
     private void onTargetSaved(TargetIncarnation target, boolean saved) {
         if (saved) {
             mSavedTarget.onSaved(target);
@@ -188,24 +206,14 @@
     }
 
     private void saveIfDue() {
-        mTarget.filter(target -> mSavedTarget.takeDue(target, mNow))
+        target().filter(target -> mSavedTarget.takeDue(target, mNow))
                 .ifPresent(target ->
                         mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset())));
     }
 
-    /**
-     * Returns whether an announcement is not newer than the known one: it was repeated, delayed in
-     * transit or comes from an earlier incarnation.
-     */
-    private static boolean stale(TargetIncarnation target, TargetIncarnation known) {
-        return target.sameIncarnation(known)
-                ? target.sequence() <= known.sequence()
-                : target.startedAt() < known.startedAt();
-    }
-
     private void onWithdrawn(String targetName) {
-        if (mTarget.filter(target -> target.id().equals(targetName)).isPresent()) {
-            mAnnouncementExpiresAt = 0;
+        if (target().filter(target -> target.id().equals(targetName)).isPresent()) {
+            mKnownTarget.onWithdrawn();
             mRuns.onTargetLeft();
         }
     }
@@ -214,7 +222,7 @@
         EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
         view.onConnected(mNow);
         mCrashedTasks.reports().forEach(view::addReport);
-        mTarget.ifPresent(target -> sendHello(entry, view, target));
+        target().ifPresent(target -> sendHello(entry, view, target));
     }
 
     private void onLost(NodeId entry) {
@@ -319,12 +327,12 @@
     }
 
     private long nextDeadline() {
-        if (mTarget.isEmpty()) {
+        if (target().isEmpty()) {
             return Long.MAX_VALUE;
         }
         Demand free = free();
         Set<NodeId> owners = mRuns.held().owners();
-        long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(mTarget.get()));
+        long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(target().get()));
         for (Map.Entry<NodeId, EntryView> entry : mEntries.entrySet()) {
             boolean ownsRuns = owners.contains(entry.getKey());
             deadline = Math.min(deadline, entry.getValue().nextDeadline(free, ownsRuns, mNow));
@@ -334,7 +342,7 @@
 
     /** Returns when the target's announcement times out or its incarnation must be saved. */
     private long targetDeadline(TargetIncarnation target) {
-        long expiresAt = mNow < mAnnouncementExpiresAt ? mAnnouncementExpiresAt : Long.MAX_VALUE;
+        long expiresAt = mKnownTarget.announcementExpiresAt(mNow);
         return Math.min(expiresAt, mSavedTarget.dueAt(target));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/TargetIncarnation.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/TargetIncarnation.java
@@ -42,6 +42,18 @@
                 id, startedAt, 0, service, address, capacity, labels, false, clock);
     }
 
+    /**
+     * Returns the incarnation that has started since under the same name and has not announced
+     * itself; the rest of the description is that of this one.
+     *
+     * @param restartedAt when it started, in milliseconds since the epoch
+     * @param restartedClock a reading of its clock, in milliseconds
+     */
+    public TargetIncarnation restartedAt(long restartedAt, long restartedClock) {
+        return new TargetIncarnation(
+                id, restartedAt, 0, service, address, capacity, labels, false, restartedClock);
+    }
+
     /** Returns whether both describe the same incarnation. */
     public boolean sameIncarnation(TargetIncarnation other) {
         return id.equals(other.id) && startedAt == other.startedAt;
