Tell all entries of runs that should have ended and may be active

Cause: between two entries nothing but time kept the runs of a job apart. The first must notice that its caller left, stop the runs and have that confirmed within the resend delay. Sidecars told the others of the runs of a lost entry only 300 ms after the loss, up to 0.9 s after the entry fell silent, and told nobody of a stop that its target had not confirmed, however long that took.

Change: a sidecar reports the jobs of such runs to all entries but their owner as soon as the owner is lost, and 300 ms after a stop that is not confirmed, until the runs have ended. An entry that gets such a job holds it back; it did so before for the jobs of lost entries. The field's name changes with its meaning, orphaned_jobs to unsettled_jobs (same number on the wire). Jobs that are held back are counted and logged.

Evidence: UnsettledRunTest: three of its tests failed before ("No value present": no report; the fourth had nothing to report then).

Measured: 181 tests of the pool, the wire and explain pass. Messages change only when the set of such jobs does.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -54,6 +54,8 @@
     RUN_LOST(30),
     /** A run exceeds its expected time by far; it is stopped, and its task placed elsewhere. */
     RUN_OVERDUE(20),
+    /** A job waits for the end of runs of an earlier request, here or at another entry. */
+    JOB_HELD_BACK(30),
     /** The last run of a job has ended after the job had. */
     JOB_STOPPED(30),
     /** A process has handled no events for longer than heartbeats allow for. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -104,14 +104,25 @@
      *     which the entry returns in {@link Start}
      * @param handledStarts the sequence number of the receiver's last {@link Start} that {@code
      *     free} takes into account
-     * @param orphanedJobs the jobs whose entry is lost but whose tasks may still run here
+     * @param unsettledJobs the jobs that other entries than the receiver have runs of here which
+     *     should have ended and may be active: the entry is lost, or a stop is not confirmed in
+     *     time
      */
     record Room(
-            Demand free, boolean serving, long clock, long handledStarts, List<String> orphanedJobs)
+            Demand free,
+            boolean serving,
+            long clock,
+            long handledStarts,
+            List<String> unsettledJobs)
             implements PoolMessage {
+        /** Returns the same state with other unsettled jobs. */
+        public Room withUnsettledJobs(List<String> jobs) {
+            return new Room(free, serving, clock, handledStarts, jobs);
+        }
+
         /** Returns the same state with another number of the last start order. */
         public Room withHandledStarts(long number) {
-            return new Room(free, serving, clock, number, orphanedJobs);
+            return new Room(free, serving, clock, number, unsettledJobs);
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -43,6 +43,9 @@
     private boolean mEverPlaced;
     boolean mEnded;
 
+    /** Whether the job has waited for the end of runs of an earlier request. */
+    boolean mEverHeldBack;
+
     /** When the job ended, in milliseconds since the epoch; 0 before that. */
     long mEndedAt;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -20,6 +20,8 @@
     CALLERS_LOST,
     /** Requests for a job that is active or has a retained answer. */
     JOBS_JOINED,
+    /** Jobs that have waited for the end of runs of an earlier request. */
+    JOBS_HELD_BACK,
     /** Runs placed on a sidecar. */
     TASKS_PLACED,
     /** Runs that succeeded. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -50,6 +50,12 @@
     /** How long a sidecar keeps the runs of a disconnected entry before it stops them. */
     public static final long RECONNECT_TIMEOUT_MILLIS = 300;
 
+    /**
+     * A run that has not ended this long after its stop was ordered is reported to the other
+     * entries: their callers may send its job again.
+     */
+    public static final long STOP_TIMEOUT_MILLIS = 300;
+
     /**
      * The lease that a sidecar requests for the runs of its target, if the target grants as much.
      * It covers a few polls, and is short because the tasks of an unresponsive target cannot be
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -24,8 +24,8 @@
     final TargetHealth mHealth = new TargetHealth();
     final TargetSpeed mSpeed = new TargetSpeed();
 
-    /** The jobs of lost entries that may still have runs at the sidecar, by id. */
-    final Set<String> mOrphanedJobs = new HashSet<>();
+    /** The jobs with runs of other entries at the sidecar that should have ended, by id. */
+    final Set<String> mUnsettledJobs = new HashSet<>();
 
     /** The latest description that the sidecar has sent of itself and its target. */
     PoolMessage.Hello mHello;
@@ -176,8 +176,8 @@
         mServing = room.serving();
         mSidecarClock = room.clock();
         mUnacknowledgedDemand.keySet().removeIf(number -> number <= room.handledStarts());
-        mOrphanedJobs.clear();
-        mOrphanedJobs.addAll(room.orphanedJobs());
+        mUnsettledJobs.clear();
+        mUnsettledJobs.addAll(room.unsettledJobs());
         mMinFreeThisTick = mMinFreeThisTick.min(free());
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
 import org.jackdawsaddle.internal.pool.quarantine.Quarantine;
@@ -64,7 +66,7 @@
     }
 
     /**
-     * Places tasks in the order of {@link WaitingJob#compareTo}. Leaves out jobs that may still
+     * Places tasks in the order of {@link WaitingJob#compareTo}. Holds back jobs that may still
      * have runs of an earlier request.
      *
      * @return the jobs that still have tasks to place, in the order of dispatch
@@ -84,20 +86,33 @@
         if (startable.isEmpty()) {
             return List.of();
         }
-        Set<String> orphaned = orphanedJobs();
+        Set<String> unsettled = unsettledJobs();
         return startable.stream()
-                .filter(job -> !orphaned.contains(job.mJob.id()))
-                .filter(job -> !mState.mStoppingRunCounts.containsKey(job.mJob.id()))
+                .filter(job -> !heldBack(job, unsettled))
                 .map(job -> new WaitingJob(job, mPlacement.late(job, mState.mNow)))
                 .sorted()
                 .toList();
     }
 
-    /** Returns the jobs of lost entries that may still have runs at some sidecar. */
-    private Set<String> orphanedJobs() {
-        Set<String> orphaned = new HashSet<>();
-        mState.mSidecars.values().forEach(sidecar -> orphaned.addAll(sidecar.mOrphanedJobs));
-        return orphaned;
+    /** Returns the jobs of which some sidecar has runs of other entries that should have ended. */
+    private Set<String> unsettledJobs() {
+        Set<String> unsettled = new HashSet<>();
+        mState.mSidecars.values().forEach(sidecar -> unsettled.addAll(sidecar.mUnsettledJobs));
+        return unsettled;
+    }
+
+    private boolean heldBack(ActiveJob job, Set<String> unsettled) {
+        String id = job.mJob.id();
+        boolean heldBack = unsettled.contains(id) || mState.mStoppingRunCounts.containsKey(id);
+        if (heldBack && !job.mEverHeldBack) {
+            job.mEverHeldBack = true;
+            mState.count(PoolEntryCounter.JOBS_HELD_BACK);
+            EventLog.line(Event.JOB_HELD_BACK)
+                    .with("job", id)
+                    .with("runs_elsewhere", unsettled.contains(id))
+                    .write();
+        }
+        return heldBack;
     }
 
     /** Places the startable tasks of a job, up to the first one that finds no target. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -36,7 +36,7 @@
     private Demand mReportedFree = Demand.NONE;
 
     private boolean mReportedServing;
-    private List<String> mReportedOrphans = List.of();
+    private List<String> mReportedUnsettledJobs = List.of();
 
     /** The reports to send on this connection or, if it is closed, on the next one. */
     private final List<TaskReport> mPendingReports = new ArrayList<>();
@@ -156,14 +156,14 @@
         mRoomSentAt = now;
         mReportedFree = room.free();
         mReportedServing = room.serving();
-        mReportedOrphans = room.orphanedJobs();
+        mReportedUnsettledJobs = room.unsettledJobs();
         return updates;
     }
 
     private boolean roomDue(PoolMessage.Room room, boolean ownsRuns, long now) {
         return !mPendingReports.isEmpty()
                 || room.serving() != mReportedServing
-                || !room.orphanedJobs().equals(mReportedOrphans)
+                || !room.unsettledJobs().equals(mReportedUnsettledJobs)
                 || now >= roomDueAt(room.free(), ownsRuns);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -49,6 +49,12 @@
     /** When a stop that was not confirmed is ordered again, in milliseconds since the epoch. */
     long mStopDueAt;
 
+    /**
+     * When a run that is being stopped should have ended, in milliseconds since the epoch; {@code
+     * Long.MAX_VALUE} before the stop.
+     */
+    long mStopExpiresAt = Long.MAX_VALUE;
+
     HeldRun(NodeId owner, StartTask task, TargetIncarnation target) {
         mOwner = owner;
         mTarget = target;
@@ -73,6 +79,14 @@
         return mState == State.STOPPING && unconfirmed ? mStopDueAt : Long.MAX_VALUE;
     }
 
+    /**
+     * Returns when the stop of the run expires, in milliseconds since the epoch; {@code
+     * Long.MAX_VALUE} if none is requested or it already has.
+     */
+    long stopExpiresAfter(long now) {
+        return mStopExpiresAt > now ? mStopExpiresAt : Long.MAX_VALUE;
+    }
+
     String job() {
         return TaskNames.jobOf(mStartTask.run().task());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -60,12 +60,19 @@
         return mRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
     }
 
-    /** Returns the ids of the jobs whose runs these entries own. */
-    List<String> jobsOf(Predicate<NodeId> owners) {
-        return mRuns.values().stream()
-                .filter(held -> owners.test(held.mOwner))
+    /** Returns the ids of the jobs of runs that other entries own. */
+    static List<String> jobsOfOthers(NodeId entry, List<HeldRun> runs) {
+        return runs.stream()
+                .filter(held -> !held.mOwner.equals(entry))
                 .map(HeldRun::job)
                 .distinct()
                 .toList();
     }
+
+    /** Returns the runs that should have ended: their entry is lost, or their stop has expired. */
+    List<HeldRun> unsettled(Predicate<NodeId> lost, long now) {
+        return mRuns.values().stream()
+                .filter(held -> now >= held.mStopExpiresAt || lost.test(held.mOwner))
+                .toList();
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -1,9 +1,7 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.jackdawsaddle.NodeId;
@@ -33,7 +31,7 @@
     private final RunTable mRuns;
     private final List<PoolSidecarAction> mActions = new ArrayList<>();
     private final long[] mCounts = new long[PoolSidecarCounter.values().length];
-    private final Map<NodeId, EntryView> mEntries = new LinkedHashMap<>();
+    private final EntryTable mEntries = new EntryTable();
     private final CrashedTasks mCrashedTasks = new CrashedTasks();
     private final KnownTarget mKnownTarget = new KnownTarget();
 
@@ -91,21 +89,27 @@
     public List<PoolSidecarAction> actions() {
         mRuns.pollIfDue();
         if (target().isPresent()) {
-            Set<NodeId> owners = mRuns.held().owners();
-            PoolMessage.Room room =
-                    new PoolMessage.Room(
-                            free(), serving(), mNow, 0, mRuns.held().jobsOf(this::orphaned));
-            mEntries.forEach((entry, view) ->
-                    view.takeUpdates(room, owners.contains(entry), mNow)
-                            .forEach(update ->
-                                    mActions.add(
-                                            new PoolSidecarAction.SendToEntry(entry, update))));
+            sendUpdates();
         }
         List<PoolSidecarAction> actions = List.copyOf(mActions);
         mActions.clear();
         return actions;
     }
 
+    /** Sends each entry the reports on its runs and the free capacity, as far as they are due. */
+    private void sendUpdates() {
+        Set<NodeId> owners = mRuns.held().owners();
+        List<HeldRun> unsettled = mRuns.held().unsettled(mEntries::lost, mNow);
+        PoolMessage.Room room = new PoolMessage.Room(free(), serving(), mNow, 0, List.of());
+        mEntries.forEach((entry, view) ->
+                view.takeUpdates(
+                                room.withUnsettledJobs(HeldRuns.jobsOfOthers(entry, unsettled)),
+                                owners.contains(entry),
+                                mNow)
+                        .forEach(update ->
+                                mActions.add(new PoolSidecarAction.SendToEntry(entry, update))));
+    }
+
     /** Returns the value of a counter. */
     public long counterValue(PoolSidecarCounter counter) {
         return mCounts[counter.ordinal()];
@@ -219,17 +223,13 @@
     }
 
     private void onConnected(NodeId entry) {
-        EntryView view = mEntries.computeIfAbsent(entry, node -> new EntryView());
-        view.onConnected(mNow);
+        EntryView view = mEntries.connect(entry, mNow);
         mCrashedTasks.reports().forEach(view::addReport);
         target().ifPresent(target -> sendHello(entry, view, target));
     }
 
     private void onLost(NodeId entry) {
-        EntryView view = mEntries.get(entry);
-        if (view != null && view.connected()) {
-            view.onLost(mNow);
-        }
+        mEntries.findConnected(entry).ifPresent(view -> view.onLost(mNow));
     }
 
     private void sendHello(NodeId entry, EntryView view, TargetIncarnation target) {
@@ -254,10 +254,10 @@
     }
 
     private void onEntrySent(NodeId entry, PoolMessage message) {
-        EntryView view = mEntries.get(entry);
-        if (view == null || !view.connected()) {
-            return;
-        }
+        mEntries.findConnected(entry).ifPresent(view -> onEntrySent(entry, view, message));
+    }
+
+    private void onEntrySent(NodeId entry, EntryView view, PoolMessage message) {
         view.onHeard(mNow);
         switch (message) {
             case PoolMessage.Start start -> onStart(entry, view, start);
@@ -330,14 +330,8 @@
         if (target().isEmpty()) {
             return Long.MAX_VALUE;
         }
-        Demand free = free();
-        Set<NodeId> owners = mRuns.held().owners();
         long deadline = Math.min(mRuns.nextDeadline(), targetDeadline(target().get()));
-        for (Map.Entry<NodeId, EntryView> entry : mEntries.entrySet()) {
-            boolean ownsRuns = owners.contains(entry.getKey());
-            deadline = Math.min(deadline, entry.getValue().nextDeadline(free, ownsRuns, mNow));
-        }
-        return deadline;
+        return Math.min(deadline, mEntries.nextDeadline(free(), mRuns.held().owners(), mNow));
     }
 
     /** Returns when the target's announcement times out or its incarnation must be saved. */
@@ -349,32 +343,15 @@
     private void onTick() {
         mLastTickAt = mNow;
         Set<NodeId> owners = mRuns.held().owners();
-        mEntries.forEach((entry, view) -> {
-            if (view.connectionTimedOut(owners.contains(entry), mNow)) {
-                mActions.add(new PoolSidecarAction.DisconnectEntry(entry));
-                onLost(entry);
-            }
-        });
-        mRuns.stopRunsOf(this::orphaned);
-        mEntries.entrySet()
-                .removeIf(entry ->
-                        !entry.getValue().connected()
-                                && entry.getValue().reconnectTimedOut(mNow)
-                                && !owners.contains(entry.getKey()));
+        mEntries.markTimedOut(owners, mNow)
+                .forEach(entry -> mActions.add(new PoolSidecarAction.DisconnectEntry(entry)));
+        mRuns.stopRunsOf(owner -> mEntries.reconnectTimedOut(owner, mNow));
+        mEntries.evict(owners, mNow);
         mRuns.onTick();
         mCrashedTasks.evictExpired(mNow);
         saveIfDue();
     }
 
-    /**
-     * Returns whether the runs of an entry must end: it is unknown, or was lost and has sent no
-     * message since.
-     */
-    private boolean orphaned(NodeId owner) {
-        EntryView view = mEntries.get(owner);
-        return view == null || view.reconnectTimedOut(mNow);
-    }
-
     /**
      * Queues a report until the entry is connected; drops it if the entry is not known any more. A
      * crash is reported to all entries, as any of them may get the job next.
@@ -382,13 +359,10 @@
     private void report(NodeId owner, Run run, ReportKind kind) {
         if (kind == ReportKind.CRASHED && !mCrashedTasks.contains(run.task())) {
             mCrashedTasks.add(run, mNow);
-            mEntries.values().forEach(view -> view.addReport(new TaskReport(run, kind)));
+            mEntries.forEach((entry, view) -> view.addReport(new TaskReport(run, kind)));
             return;
         }
-        EntryView view = mEntries.get(owner);
-        if (view != null) {
-            view.addReport(new TaskReport(run, kind));
-        }
+        mEntries.find(owner).ifPresent(view -> view.addReport(new TaskReport(run, kind)));
     }
 
     private void count(PoolSidecarCounter counter) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -11,6 +11,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
+import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
@@ -159,6 +160,7 @@
     private void stop(HeldRun held) {
         if (held.mState != HeldRun.State.STOPPING) {
             held.mState = HeldRun.State.STOPPING;
+            held.mStopExpiresAt = mNow + PoolTiming.STOP_TIMEOUT_MILLIS;
             held.mConclusivePoll = Long.MAX_VALUE;
             sendStopOrder(held);
         }
@@ -334,7 +336,7 @@
     long nextDeadline() {
         long pollDueAt = pollNeeded() ? mPolls.dueAt() : Long.MAX_VALUE;
         return mHeldRuns.values().stream()
-                .mapToLong(HeldRun::stopDueAt)
+                .mapToLong(held -> Math.min(held.stopDueAt(), held.stopExpiresAfter(mNow)))
                 .reduce(pollDueAt, Math::min);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -43,7 +43,7 @@
                             .setServing(room.serving())
                             .setClock(room.clock())
                             .setHandledStarts(room.handledStarts())
-                            .addAllOrphanedJobs(room.orphanedJobs());
+                            .addAllUnsettledJobs(room.unsettledJobs());
             case TaskReports reports ->
                     reports.reports()
                             .forEach(report ->
@@ -134,7 +134,7 @@
                 room.getServing(),
                 room.getClock(),
                 room.getHandledStarts(),
-                List.copyOf(room.getOrphanedJobsList()));
+                List.copyOf(room.getUnsettledJobsList()));
     }
 
     private static Start decode(Wire.PoolStart start) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -34025,29 +34025,29 @@
     long getHandledStarts();
 
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
-     * @return A list containing the orphanedJobs.
+     * <code>repeated string unsettled_jobs = 5;</code>
+     * @return A list containing the unsettledJobs.
      */
     java.util.List<java.lang.String>
-        getOrphanedJobsList();
+        getUnsettledJobsList();
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
-     * @return The count of orphanedJobs.
+     * <code>repeated string unsettled_jobs = 5;</code>
+     * @return The count of unsettledJobs.
      */
-    int getOrphanedJobsCount();
+    int getUnsettledJobsCount();
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
+     * <code>repeated string unsettled_jobs = 5;</code>
      * @param index The index of the element to return.
-     * @return The orphanedJobs at the given index.
+     * @return The unsettledJobs at the given index.
      */
-    java.lang.String getOrphanedJobs(int index);
+    java.lang.String getUnsettledJobs(int index);
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
+     * <code>repeated string unsettled_jobs = 5;</code>
      * @param index The index of the value to return.
-     * @return The bytes of the orphanedJobs at the given index.
+     * @return The bytes of the unsettledJobs at the given index.
      */
     com.google.protobuf.ByteString
-        getOrphanedJobsBytes(int index);
+        getUnsettledJobsBytes(int index);
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolRoom}
@@ -34071,7 +34071,7 @@
       super(builder);
     }
     private PoolRoom() {
-      orphanedJobs_ =
+      unsettledJobs_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
@@ -34153,41 +34153,41 @@
       return handledStarts_;
     }
 
-    public static final int ORPHANED_JOBS_FIELD_NUMBER = 5;
+    public static final int UNSETTLED_JOBS_FIELD_NUMBER = 5;
     @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList orphanedJobs_ =
+    private com.google.protobuf.LazyStringArrayList unsettledJobs_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
-     * @return A list containing the orphanedJobs.
+     * <code>repeated string unsettled_jobs = 5;</code>
+     * @return A list containing the unsettledJobs.
      */
     public com.google.protobuf.ProtocolStringList
-        getOrphanedJobsList() {
-      return orphanedJobs_;
+        getUnsettledJobsList() {
+      return unsettledJobs_;
     }
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
-     * @return The count of orphanedJobs.
+     * <code>repeated string unsettled_jobs = 5;</code>
+     * @return The count of unsettledJobs.
      */
-    public int getOrphanedJobsCount() {
-      return orphanedJobs_.size();
+    public int getUnsettledJobsCount() {
+      return unsettledJobs_.size();
     }
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
+     * <code>repeated string unsettled_jobs = 5;</code>
      * @param index The index of the element to return.
-     * @return The orphanedJobs at the given index.
+     * @return The unsettledJobs at the given index.
      */
-    public java.lang.String getOrphanedJobs(int index) {
-      return orphanedJobs_.get(index);
+    public java.lang.String getUnsettledJobs(int index) {
+      return unsettledJobs_.get(index);
     }
     /**
-     * <code>repeated string orphaned_jobs = 5;</code>
+     * <code>repeated string unsettled_jobs = 5;</code>
      * @param index The index of the value to return.
-     * @return The bytes of the orphanedJobs at the given index.
+     * @return The bytes of the unsettledJobs at the given index.
      */
     public com.google.protobuf.ByteString
-        getOrphanedJobsBytes(int index) {
-      return orphanedJobs_.getByteString(index);
+        getUnsettledJobsBytes(int index) {
+      return unsettledJobs_.getByteString(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -34216,8 +34216,8 @@
       if (handledStarts_ != 0L) {
         output.writeUInt64(4, handledStarts_);
       }
-      for (int i = 0; i < orphanedJobs_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 5, orphanedJobs_.getRaw(i));
+      for (int i = 0; i < unsettledJobs_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, unsettledJobs_.getRaw(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -34241,11 +34241,11 @@
       }
       {
         int dataSize = 0;
-        for (int i = 0; i < orphanedJobs_.size(); i++) {
-          dataSize += computeStringSizeNoTag(orphanedJobs_.getRaw(i));
+        for (int i = 0; i < unsettledJobs_.size(); i++) {
+          dataSize += computeStringSizeNoTag(unsettledJobs_.getRaw(i));
         }
         size += dataSize;
-        size += 1 * getOrphanedJobsList().size();
+        size += 1 * getUnsettledJobsList().size();
       }
       return size;
     }
@@ -34282,8 +34282,8 @@
           != other.getClock()) return false;
       if (getHandledStarts()
           != other.getHandledStarts()) return false;
-      if (!getOrphanedJobsList()
-          .equals(other.getOrphanedJobsList())) return false;
+      if (!getUnsettledJobsList()
+          .equals(other.getUnsettledJobsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -34308,9 +34308,9 @@
       hash = (37 * hash) + HANDLED_STARTS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getHandledStarts());
-      if (getOrphanedJobsCount() > 0) {
-        hash = (37 * hash) + ORPHANED_JOBS_FIELD_NUMBER;
-        hash = (53 * hash) + getOrphanedJobsList().hashCode();
+      if (getUnsettledJobsCount() > 0) {
+        hash = (37 * hash) + UNSETTLED_JOBS_FIELD_NUMBER;
+        hash = (53 * hash) + getUnsettledJobsList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
@@ -34457,7 +34457,7 @@
         serving_ = false;
         clock_ = 0L;
         handledStarts_ = 0L;
-        orphanedJobs_ =
+        unsettledJobs_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
@@ -34509,8 +34509,8 @@
           result.handledStarts_ = handledStarts_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          orphanedJobs_.makeImmutable();
-          result.orphanedJobs_ = orphanedJobs_;
+          unsettledJobs_.makeImmutable();
+          result.unsettledJobs_ = unsettledJobs_;
         }
         result.bitField0_ |= to_bitField0_;
       }
@@ -34539,13 +34539,13 @@
         if (other.getHandledStarts() != 0L) {
           setHandledStarts(other.getHandledStarts());
         }
-        if (!other.orphanedJobs_.isEmpty()) {
-          if (orphanedJobs_.isEmpty()) {
-            orphanedJobs_ = other.orphanedJobs_;
+        if (!other.unsettledJobs_.isEmpty()) {
+          if (unsettledJobs_.isEmpty()) {
+            unsettledJobs_ = other.unsettledJobs_;
             bitField0_ |= 0x00000010;
           } else {
-            ensureOrphanedJobsIsMutable();
-            orphanedJobs_.addAll(other.orphanedJobs_);
+            ensureUnsettledJobsIsMutable();
+            unsettledJobs_.addAll(other.unsettledJobs_);
           }
           onChanged();
         }
@@ -34596,8 +34596,8 @@
                 break;
               } // case 32
               case 42: {
-                ensureOrphanedJobsIsMutable();
-                orphanedJobs_.add(input.readStringRequireUtf8());
+                ensureUnsettledJobsIsMutable();
+                unsettledJobs_.add(input.readStringRequireUtf8());
                 break;
               } // case 42
               default: {
@@ -34832,112 +34832,112 @@
         return this;
       }
 
-      private com.google.protobuf.LazyStringArrayList orphanedJobs_ =
+      private com.google.protobuf.LazyStringArrayList unsettledJobs_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureOrphanedJobsIsMutable() {
-        if (!orphanedJobs_.isModifiable()) {
-          orphanedJobs_ = new com.google.protobuf.LazyStringArrayList(orphanedJobs_);
+      private void ensureUnsettledJobsIsMutable() {
+        if (!unsettledJobs_.isModifiable()) {
+          unsettledJobs_ = new com.google.protobuf.LazyStringArrayList(unsettledJobs_);
         }
         bitField0_ |= 0x00000010;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
-       * @return A list containing the orphanedJobs.
+       * <code>repeated string unsettled_jobs = 5;</code>
+       * @return A list containing the unsettledJobs.
        */
       public com.google.protobuf.ProtocolStringList
-          getOrphanedJobsList() {
-        orphanedJobs_.makeImmutable();
-        return orphanedJobs_;
+          getUnsettledJobsList() {
+        unsettledJobs_.makeImmutable();
+        return unsettledJobs_;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
-       * @return The count of orphanedJobs.
+       * <code>repeated string unsettled_jobs = 5;</code>
+       * @return The count of unsettledJobs.
        */
-      public int getOrphanedJobsCount() {
-        return orphanedJobs_.size();
+      public int getUnsettledJobsCount() {
+        return unsettledJobs_.size();
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
+       * <code>repeated string unsettled_jobs = 5;</code>
        * @param index The index of the element to return.
-       * @return The orphanedJobs at the given index.
+       * @return The unsettledJobs at the given index.
        */
-      public java.lang.String getOrphanedJobs(int index) {
-        return orphanedJobs_.get(index);
+      public java.lang.String getUnsettledJobs(int index) {
+        return unsettledJobs_.get(index);
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
+       * <code>repeated string unsettled_jobs = 5;</code>
        * @param index The index of the value to return.
-       * @return The bytes of the orphanedJobs at the given index.
+       * @return The bytes of the unsettledJobs at the given index.
        */
       public com.google.protobuf.ByteString
-          getOrphanedJobsBytes(int index) {
-        return orphanedJobs_.getByteString(index);
+          getUnsettledJobsBytes(int index) {
+        return unsettledJobs_.getByteString(index);
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
+       * <code>repeated string unsettled_jobs = 5;</code>
        * @param index The index to set the value at.
-       * @param value The orphanedJobs to set.
+       * @param value The unsettledJobs to set.
        * @return This builder for chaining.
        */
-      public Builder setOrphanedJobs(
+      public Builder setUnsettledJobs(
           int index, java.lang.String value) {
         java.util.Objects.requireNonNull(value);
-        ensureOrphanedJobsIsMutable();
-        orphanedJobs_.set(index, value);
+        ensureUnsettledJobsIsMutable();
+        unsettledJobs_.set(index, value);
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
-       * @param value The orphanedJobs to add.
+       * <code>repeated string unsettled_jobs = 5;</code>
+       * @param value The unsettledJobs to add.
        * @return This builder for chaining.
        */
-      public Builder addOrphanedJobs(
+      public Builder addUnsettledJobs(
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
-        ensureOrphanedJobsIsMutable();
-        orphanedJobs_.add(value);
+        ensureUnsettledJobsIsMutable();
+        unsettledJobs_.add(value);
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
-       * @param values The orphanedJobs to add.
+       * <code>repeated string unsettled_jobs = 5;</code>
+       * @param values The unsettledJobs to add.
        * @return This builder for chaining.
        */
-      public Builder addAllOrphanedJobs(
+      public Builder addAllUnsettledJobs(
           java.lang.Iterable<java.lang.String> values) {
-        ensureOrphanedJobsIsMutable();
+        ensureUnsettledJobsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, orphanedJobs_);
+            values, unsettledJobs_);
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
+       * <code>repeated string unsettled_jobs = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearOrphanedJobs() {
-        orphanedJobs_ =
+      public Builder clearUnsettledJobs() {
+        unsettledJobs_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
         bitField0_ = (bitField0_ & ~0x00000010);;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string orphaned_jobs = 5;</code>
-       * @param value The bytes of the orphanedJobs to add.
+       * <code>repeated string unsettled_jobs = 5;</code>
+       * @param value The bytes of the unsettledJobs to add.
        * @return This builder for chaining.
        */
-      public Builder addOrphanedJobsBytes(
+      public Builder addUnsettledJobsBytes(
           com.google.protobuf.ByteString value) {
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
-        ensureOrphanedJobsIsMutable();
-        orphanedJobs_.add(value);
+        ensureUnsettledJobsIsMutable();
+        unsettledJobs_.add(value);
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
@@ -43340,32 +43340,32 @@
       "et\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 " +
       "\001(\0132\036.org.jackdawsaddle.wire.Demand\022\016\n\006l" +
       "abels\030\006 \003(\t\022\035\n\025configuration_version\030\007 \001" +
-      "(\004\"\207\001\n\010PoolRoom\022,\n\004free\030\001 \001(\0132\036.org.jack" +
+      "(\004\"\210\001\n\010PoolRoom\022,\n\004free\030\001 \001(\0132\036.org.jack" +
       "dawsaddle.wire.Demand\022\017\n\007serving\030\002 \001(\010\022\r" +
-      "\n\005clock\030\003 \001(\004\022\026\n\016handled_starts\030\004 \001(\004\022\025\n" +
-      "\rorphaned_jobs\030\005 \003(\t\"L\n\016PoolTaskReport\022," +
-      "\n\003run\030\001 \001(\0132\037.org.jackdawsaddle.wire.Poo" +
-      "lRun\022\014\n\004kind\030\002 \001(\005\"J\n\017PoolTaskReports\0227\n" +
-      "\007reports\030\001 \003(\0132&.org.jackdawsaddle.wire." +
-      "PoolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030\001" +
-      " \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n\t" +
-      "addresses\030\002 \003(\t\"~\n\rPoolStartTask\022,\n\003run\030" +
-      "\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun\022\017" +
-      "\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.ja" +
-      "ckdawsaddle.wire.Demand\"`\n\tPoolStart\022\016\n\006" +
-      "number\030\001 \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005tasks\030\003 \003" +
-      "(\0132%.org.jackdawsaddle.wire.PoolStartTas" +
-      "k\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.jackda" +
-      "wsaddle.wire.PoolRun\";\n\nPoolResume\022-\n\004ru" +
-      "ns\030\001 \003(\0132\037.org.jackdawsaddle.wire.PoolRu" +
-      "n\";\n\010PoolPing\022\035\n\025configuration_version\030\001" +
-      " \001(\004\022\020\n\010watching\030\002 \001(\010\"n\n\rPoolPeerHello\022" +
-      "-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
-      "NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configuration" +
-      "_version\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddress" +
-      "es\030\001 \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007ver" +
-      "sion\030\001 \001(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdaws" +
-      "addle.internal.wire.protoB\004Wireb\006proto3"
+      "\n\005clock\030\003 \001(\004\022\026\n\016handled_starts\030\004 \001(\004\022\026\n" +
+      "\016unsettled_jobs\030\005 \003(\t\"L\n\016PoolTaskReport\022" +
+      ",\n\003run\030\001 \001(\0132\037.org.jackdawsaddle.wire.Po" +
+      "olRun\022\014\n\004kind\030\002 \001(\005\"J\n\017PoolTaskReports\0227" +
+      "\n\007reports\030\001 \003(\0132&.org.jackdawsaddle.wire" +
+      ".PoolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030" +
+      "\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n" +
+      "\taddresses\030\002 \003(\t\"~\n\rPoolStartTask\022,\n\003run" +
+      "\030\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun\022" +
+      "\017\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.j" +
+      "ackdawsaddle.wire.Demand\"`\n\tPoolStart\022\016\n" +
+      "\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005tasks\030\003 " +
+      "\003(\0132%.org.jackdawsaddle.wire.PoolStartTa" +
+      "sk\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.jackd" +
+      "awsaddle.wire.PoolRun\";\n\nPoolResume\022-\n\004r" +
+      "uns\030\001 \003(\0132\037.org.jackdawsaddle.wire.PoolR" +
+      "un\";\n\010PoolPing\022\035\n\025configuration_version\030" +
+      "\001 \001(\004\022\020\n\010watching\030\002 \001(\010\"n\n\rPoolPeerHello" +
+      "\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire" +
+      ".NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configuratio" +
+      "n_version\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddres" +
+      "ses\030\001 \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007ve" +
+      "rsion\030\001 \001(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdaw" +
+      "saddle.internal.wire.protoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -43592,7 +43592,7 @@
     internal_static_org_jackdawsaddle_wire_PoolRoom_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolRoom_descriptor,
-        new java.lang.String[] { "Free", "Serving", "Clock", "HandledStarts", "OrphanedJobs", });
+        new java.lang.String[] { "Free", "Serving", "Clock", "HandledStarts", "UnsettledJobs", });
     internal_static_org_jackdawsaddle_wire_PoolTaskReport_descriptor =
       getDescriptor().getMessageType(37);
     internal_static_org_jackdawsaddle_wire_PoolTaskReport_fieldAccessorTable = new
