Show that a refused connection alone ends runs (known red)

TargetLiveness.crashed() holds after two polls in a row that reach no process, 50 to 100 ms apart, and RunTable then ends all runs, so that entries start their tasks elsewhere. A target that is alive and only refuses connections still executes them under its lease.

Tests missed it because no model had such a state: the worker of PoolSimulation was up, replaced, or down without runs. It can now refuse connections for 100 to 600 ms while its runs go on, a fault kind of the random walk. A stop that finds a worker down is no longer answered as confirmed.

Two tests of the core and the random walk fail and are in the group known-red.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -24,6 +24,8 @@
     static final long CALLER_TIMEOUT_MILLIS = 3_000;
     static final long RECONNECT_INTERVAL_MILLIS = 100;
     static final long RESTART_DELAY_MILLIS = 1_500;
+    private static final long MIN_REFUSAL_MILLIS = 100;
+    private static final int REFUSAL_RANGE_MILLIS = 500;
 
     /** Work at a simulated time; {@code number} orders the events of the same time. */
     private record ScheduledEvent(long at, long number, Runnable work) {}
@@ -138,7 +140,7 @@
         SimulatedEntry entry = mEntries.get(mRandom.nextInt(mEntries.size()));
         SimulatedSidecar sidecar = mSidecars.get(mRandom.nextInt(mSidecars.size()));
         long durationMillis = 100 + mRandom.nextInt(4_000);
-        int kind = mRandom.nextInt(8);
+        int kind = mRandom.nextInt(9);
         log(
                 "fault of kind "
                         + kind
@@ -163,6 +165,9 @@
                 sidecar.mWorker = new WorkerModel(mShape.coresPerWorker(), 1.0, mNow);
                 sidecar.mAnnouncementSequence = 0;
             }
+            case 8 ->
+                    sidecar.mRefusesUntil =
+                            mNow + MIN_REFUSAL_MILLIS + mRandom.nextInt(REFUSAL_RANGE_MILLIS);
             default -> throw new IllegalStateException();
         }
         after(mRandom.nextInt(2_000), () -> injectFault(end));
@@ -221,4 +226,15 @@
     void at(long when, Runnable work) {
         mSchedule.add(new ScheduledEvent(when, ++mLastNumber, work));
     }
+
+    /**
+     * Executes an order after 1 ms, or sometimes after 2 s to 12 s, which is past its timeout.
+     *
+     * @param unanswered runs 250 ms after the order timeout, also if the order was answered
+     */
+    void execute(Runnable order, Runnable unanswered) {
+        boolean late = mLateOrderProbability > 0 && mRandom.nextDouble() < mLateOrderProbability;
+        after(late ? 2_000 + mRandom.nextInt(10_000) : 1, order);
+        after(ORDER_TIMEOUT_MILLIS + 250, unanswered);
+    }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -27,6 +27,9 @@
     /** Until when the worker is down after a crash, in milliseconds since the epoch. */
     private long mWorkerDownUntil;
 
+    /** Until when the worker refuses connections while its runs go on, in the same unit. */
+    long mRefusesUntil;
+
     /** The number of the worker's latest announcement. */
     long mAnnouncementSequence;
 
@@ -108,6 +111,10 @@
         }
     }
 
+    private boolean workerAcceptsConnections() {
+        return mSimulation.mNow >= Math.max(mWorkerDownUntil, mRefusesUntil);
+    }
+
     /** Ends the worker and all its runs without notice; its next incarnation starts later. */
     private void crashWorker() {
         mWorkerDownUntil = mSimulation.mNow + DeadlyTasks.DOWN_MILLIS;
@@ -241,7 +248,7 @@
                     if (worker != mWorker) {
                         return;
                     }
-                    if (mSimulation.mNow < mWorkerDownUntil) {
+                    if (!workerAcceptsConnections()) {
                         answerStartLater(sidecarIncarnation, start, StartReply.UNREACHABLE);
                         return;
                     }
@@ -261,7 +268,8 @@
                                 DeadlyTasks.CRASH_AFTER_MILLIS, () -> crash(worker, start.run()));
                     }
                 };
-        execute(order, () -> onStartAnswered(sidecarIncarnation, start, StartReply.UNANSWERED));
+        mSimulation.execute(
+                order, () -> onStartAnswered(sidecarIncarnation, start, StartReply.UNANSWERED));
     }
 
     /** Crashes a worker under a run, unless it has crashed or the run was stopped before. */
@@ -291,8 +299,12 @@
     private void sendStopOrder(PoolSidecarAction.StopRun stop) {
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
-        execute(
+        mSimulation.execute(
                 () -> {
+                    if (!workerAcceptsConnections()) {
+                        onStopAnswered(sidecarIncarnation, stop, false);
+                        return;
+                    }
                     mSimulation.log("worker " + mIndex + " told to stop " + stop.run());
                     worker.stop(
                             stop.run().task(),
@@ -318,14 +330,16 @@
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
         boolean[] answered = {false};
-        execute(
-                () ->
-                        answerPollWhenDue(
-                                sidecarIncarnation,
-                                worker,
-                                poll,
-                                mSimulation.mNow + poll.waitMillis(),
-                                answered),
+        mSimulation.execute(
+                () -> {
+                    if (!workerAcceptsConnections()) {
+                        answered[0] = true;
+                        onPollAnswered(sidecarIncarnation, poll, new PollReply.Unreachable());
+                        return;
+                    }
+                    long until = mSimulation.mNow + poll.waitMillis();
+                    answerPollWhenDue(sidecarIncarnation, worker, poll, until, answered);
+                },
                 () -> {
                     if (!answered[0]) {
                         onPollAnswered(sidecarIncarnation, poll, new PollReply.Unanswered());
@@ -381,17 +395,4 @@
                                         poll.target(), poll.number(), reply),
                                 mSimulation.mNow));
     }
-
-    /**
-     * Executes an order after 1 ms, or sometimes after 2 s to 12 s, which is past its timeout.
-     *
-     * @param unanswered runs 250 ms after the order timeout, also if the order was answered
-     */
-    private void execute(Runnable order, Runnable unanswered) {
-        boolean late =
-                mSimulation.mLateOrderProbability > 0
-                        && mSimulation.mRandom.nextDouble() < mSimulation.mLateOrderProbability;
-        mSimulation.after(late ? 2_000 + mSimulation.mRandom.nextInt(10_000) : 1, order);
-        mSimulation.after(PoolSimulation.ORDER_TIMEOUT_MILLIS + 250, unanswered);
-    }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
@@ -101,6 +101,30 @@
                         new TaskReport(OTHER_RUN, ReportKind.ENDED)));
     }
 
+    /** A target that refuses connections may still execute its runs under their lease. */
+    @Test(groups = "known-red")
+    public void keepsTheRunsOfATargetThatRefusesConnectionsWhileItsLeaseMayBeValid() {
+        pollUnreachable();
+        pollUnreachable();
+        assertEquals(reports(OWNER), List.of());
+        assertEquals(reports(OTHER), List.of());
+        assertFalse(mCore.serving());
+        assertEquals(mCore.free().cores(), 15.0);
+        handle(new PoolSidecarEvent.EntrySent(OWNER, new PoolMessage.Resume(List.of(RUN))));
+        assertEquals(reports(OWNER), List.of(new TaskReport(RUN, ReportKind.HELD)));
+    }
+
+    /** The task must not be started a second time beside the run that goes on. */
+    @Test(groups = "known-red")
+    public void holdsTheTaskOfATargetThatRefusesConnectionsAndAnswersAgain() {
+        pollUnreachable();
+        pollUnreachable();
+        answerPoll(TARGET, RUN);
+        start(OTHER, NEXT_RUN, 1);
+        assertEquals(reports(OWNER), List.of());
+        assertEquals(reports(OTHER), List.of(new TaskReport(NEXT_RUN, ReportKind.NO_ROOM)));
+    }
+
     private void crash() {
         pollUnreachable();
         pollUnreachable();
