End no run because its target refuses connections

Two refused polls in a row ended all runs of a target at once, though a live target that only refuses connections still executes them under its lease: two runs of a task at a time.

A refused poll takes the target out of service at once (it was after two), and polls go on each 50 ms without renewing the lease. Once the lease has ended the runs count as CRASHED if the last two polls were refused, else as ENDED as before. EndEvidence.UNREACHABLE, its counter and its mention in the log table go.

The end of the lease is reckoned on the target's clock, so that a later reading of that clock moves both alike, and without the lease that a refused poll had requested. In place of six polls without answer, those polls must have taken as long as a lease and its slack, whatever the clock says: 130 ms for one that timed out, so still six of these, and 50 ms for a refused one.

A new incarnation is polled at once, not after what is left of the retry interval. A run whose start was confirmed stays known as started when its entry stops it, as entries now give up some runs before the lease is over; without that, deadly tasks were started up to 8 times (DeadlyTaskTest).

Tests: - TargetCrashTest.reportsTheRunsOfACrashedTargetToAllEntriesAtOnce asserted the old conviction. It now asserts the reports as soon as the lease is over, not before and at most 850 ms after the first refused poll; the other tests of crashes let polls be refused until then and check that nothing was reported before.

Measured: tests of the pool and of the platform pass (1 min).

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EndEvidence.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EndEvidence.java
@@ -9,9 +9,7 @@
     /** A new incarnation of the target answers and does not list the run. */
     REPLACED,
     /** The lease of the target's runs has expired. */
-    LEASE_EXPIRED,
-    /** Polls have found no process at the target's address. */
-    UNREACHABLE;
+    LEASE_EXPIRED;
 
     /** Returns the name used in the logs: lower case, with hyphens. */
     String logName() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -40,8 +40,8 @@
      */
     long mConclusivePoll = Long.MAX_VALUE;
 
-    /** Whether a snapshot has listed the run as running. */
-    boolean mListed;
+    /** Whether the target has confirmed the start, or a snapshot has listed the run. */
+    private boolean mStarted;
 
     /** Whether the latest stop order still awaits its answer or timeout. */
     boolean mStopInFlight;
@@ -55,13 +55,19 @@
         mStartTask = task;
     }
 
-    void markListed() {
-        mListed = true;
+    /** Records that the target has started the run. */
+    void markStarted() {
+        mStarted = true;
+    }
+
+    /** Returns whether the run is known to have started, even if it must end by now. */
+    boolean started() {
+        return mStarted;
     }
 
     /** Returns whether the run is known to have started, on a target that has not left since. */
     boolean mayHaveCrashedTarget() {
-        return !mTargetLeft && (mListed || mState == State.RUNNING);
+        return !mTargetLeft && mStarted;
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PollSchedule.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PollSchedule.java
@@ -9,7 +9,11 @@
     /** How long a poll waits for a run to end; a lost answer hides ended runs for as long. */
     static final long WAIT_MILLIS = 80;
 
-    private static final long RETRY_MILLIS = 50;
+    /** The pause after a poll that was of no use. */
+    static final long RETRY_MILLIS = 50;
+
+    /** How long a poll that gets no answer takes at least, with the pause after it. */
+    static final long MIN_UNANSWERED_MILLIS = WAIT_MILLIS + RETRY_MILLIS;
 
     /** The number of the latest poll; 0 before the first one. */
     private long mLatest;
@@ -31,9 +35,11 @@
 
     /**
      * Drops the poll in flight and restarts the cursor; a new incarnation numbers its ends anew.
+     * The next poll is due at once, as it shows which runs have ended with the previous one.
      */
     void onNewIncarnation() {
         mInFlight = false;
+        mDueAt = mNow;
         mLatest++;
         mAckCursor = 0;
         mSentAckCursor = 0;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCounter.java
@@ -18,7 +18,7 @@
     RUNS_FAILED,
     /** Runs that the target has reported as ended by a stop, lease expiry or another cause. */
     RUNS_CUT_OFF,
-    /** Runs without a reported end; the next four counters tell why they count as ended. */
+    /** Runs without a reported end; the next three counters tell why they count as ended. */
     RUNS_LOST,
     /** Lost runs that a snapshot of their target's incarnation omits. */
     RUNS_LOST_OMITTED,
@@ -26,8 +26,6 @@
     RUNS_LOST_REPLACED,
     /** Lost runs whose lease has expired. */
     RUNS_LOST_LEASE_EXPIRED,
-    /** Lost runs whose target could not be reached. */
-    RUNS_LOST_UNREACHABLE,
     /** Runs that were stopped because the entry that placed them is lost. */
     RUNS_ORPHANED,
     /** Runs in a snapshot that this process does not hold; counted again in each snapshot. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunOutcomes.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunOutcomes.java
@@ -20,7 +20,6 @@
             case OMITTED -> PoolSidecarCounter.RUNS_LOST_OMITTED;
             case REPLACED -> PoolSidecarCounter.RUNS_LOST_REPLACED;
             case LEASE_EXPIRED -> PoolSidecarCounter.RUNS_LOST_LEASE_EXPIRED;
-            case UNREACHABLE -> PoolSidecarCounter.RUNS_LOST_UNREACHABLE;
         };
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -91,8 +91,9 @@
         if (target.leaving()) {
             onTargetLeft();
         }
-        mLiveness.recordClock(target.clock());
-        if (!sameIncarnation) {
+        if (sameIncarnation) {
+            mLiveness.recordClock(target.clock());
+        } else {
             EventLog.line(Event.TARGET_FOUND)
                     .with("target", target.id())
                     .with("started_at", target.startedAt())
@@ -102,7 +103,7 @@
             reconcileWithNewIncarnation();
             mReconciled = false;
             mPolls.onNewIncarnation();
-            mLiveness.recordHeard();
+            mLiveness.onNewIncarnation(target.clock());
         }
     }
 
@@ -135,7 +136,7 @@
                         target,
                         task.run(),
                         task.payload(),
-                        mLiveness.nextLeaseEnd(),
+                        mLiveness.requestLeaseByStart(),
                         mFencingToken));
     }
 
@@ -192,6 +193,7 @@
 
     private void onStarted(HeldRun held) {
         mLiveness.recordHeard();
+        held.markStarted();
         if (held.mState == HeldRun.State.STARTING) {
             held.mState = HeldRun.State.RUNNING;
             held.mConclusivePoll = mPolls.latest() + 1;
@@ -204,7 +206,7 @@
         if (held.mState != HeldRun.State.STARTING) {
             return;
         }
-        if (held.mListed) {
+        if (held.started()) {
             onStarted(held);
         } else {
             RunLog.line(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
@@ -249,10 +251,7 @@
     private void onPollFailed() {
         mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
         mPolls.retryLater();
-        if (mLiveness.crashed()) {
-            mReconciled = false;
-            endAllAsLost(ReportKind.CRASHED, EndEvidence.UNREACHABLE);
-        }
+        endAllIfLeaseHasExpired();
     }
 
     private void onSnapshot(TargetIncarnation target, long number, RunSnapshot snapshot) {
@@ -265,7 +264,7 @@
         snapshot.ended().forEach(this::onEnded);
         List<Run> running =
                 snapshot.running().stream().map(run -> new Run(run.task(), run.run())).toList();
-        running.stream().map(mHeldRuns::get).filter(Objects::nonNull).forEach(HeldRun::markListed);
+        running.stream().map(mHeldRuns::get).filter(Objects::nonNull).forEach(HeldRun::markStarted);
         List<Run> unknown = running.stream().filter(run -> !mHeldRuns.contains(run)).toList();
         unknown.forEach(this::stopUnknownRun);
         mReconciled = unknown.isEmpty();
@@ -311,9 +310,7 @@
                 sendStopOrder(held);
             }
         }
-        if (mLiveness.leaseHasExpired()) {
-            endAllAsLost(ReportKind.ENDED, EndEvidence.LEASE_EXPIRED);
-        }
+        endAllIfLeaseHasExpired();
     }
 
     /** Returns whether anything is left to learn from the target, to acknowledge or to renew. */
@@ -349,7 +346,7 @@
                 new PoolSidecarAction.Poll(
                         mTarget.get(),
                         mPolls.latest(),
-                        renew ? Optional.of(mLiveness.nextLeaseEnd()) : Optional.empty(),
+                        renew ? Optional.of(mLiveness.requestLeaseByPoll()) : Optional.empty(),
                         mPolls.ackCursor(),
                         mHeldRuns.isEmpty() ? 0 : PollSchedule.WAIT_MILLIS,
                         mFencingToken));
@@ -359,10 +356,12 @@
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
 
-    private void endAllAsLost(ReportKind kind, EndEvidence evidence) {
-        if (mHeldRuns.isEmpty()) {
+    private void endAllIfLeaseHasExpired() {
+        if (mHeldRuns.isEmpty() || !mLiveness.leaseHasExpired()) {
             return;
         }
+        ReportKind kind = mLiveness.seemsGone() ? ReportKind.CRASHED : ReportKind.ENDED;
+        EndEvidence evidence = EndEvidence.LEASE_EXPIRED;
         EventLog.line(Event.RUNS_LOST)
                 .with("runs", mHeldRuns.runs())
                 .with("silent_ms", mLiveness.silentMillis())
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
@@ -10,14 +10,18 @@
  * runs.
  */
 final class TargetLiveness {
-    /** The lease counts as expired only after this many consecutive polls without answer. */
-    private static final int MIN_UNANSWERED_FOR_EXPIRY = 6;
+    /**
+     * The lease counts as expired only after consecutive polls without answer that have taken this
+     * long.
+     */
+    private static final long MIN_POLLED_SILENCE_MILLIS =
+            PoolTiming.LEASE_MILLIS + PoolTiming.LEASE_SLACK_MILLIS;
 
     /** After this many consecutive polls without answer a target gets no new tasks. */
     private static final int UNRESPONSIVE_AFTER_UNANSWERED = 3;
 
-    /** After this many consecutive polls that reach no process, the target has crashed. */
-    private static final int CRASHED_AFTER_UNREACHABLE = 2;
+    /** After this many consecutive polls that reach no process, the target seems to be gone. */
+    private static final int GONE_AFTER_UNREACHABLE = 2;
 
     private final long mLeaseMillis;
     private long mNow;
@@ -28,16 +32,31 @@
      */
     private long mLastHeardAt;
 
-    /** The target's clock minus the sidecar's, in milliseconds. */
+    /**
+     * The target's clock minus the sidecar's, in milliseconds; less by the time that the reading
+     * was in transit.
+     */
     private long mClockOffset;
 
     private int mUnansweredPollCount;
 
+    /**
+     * How long the consecutive polls without answer have taken at least, whatever the clock says,
+     * in milliseconds.
+     */
+    private long mPolledSilenceMillis;
+
     /** Number of consecutive polls that found no process at the target's address. */
     private int mUnreachablePollCount;
 
-    /** The end of the latest lease requested, in milliseconds since the epoch by this sidecar. */
-    private long mLatestLeaseEnd;
+    /**
+     * The end of the latest lease that the target may have received, but for that of the poll in
+     * flight, in milliseconds on the target's clock.
+     */
+    private long mLeaseEnd;
+
+    /** The same for the poll in flight; 0 if it requests none. */
+    private long mPollLeaseEnd;
 
     TargetLiveness(long leaseMillis) {
         mLeaseMillis = Math.min(leaseMillis, PoolTiming.LEASE_MILLIS);
@@ -56,11 +75,30 @@
     /** Records the answer to a poll, with the reading of the target's clock. */
     void recordAnswered(long clock) {
         recordHeard();
+        keepPolledLease();
         mUnansweredPollCount = 0;
+        mPolledSilenceMillis = 0;
         recordClock(clock);
     }
 
+    /** Records that a poll got no usable answer: it may have renewed the lease. */
     void recordUnanswered(TargetIncarnation target) {
+        keepPolledLease();
+        countUnanswered(target, PollSchedule.MIN_UNANSWERED_MILLIS);
+    }
+
+    /**
+     * Records that a poll found no process at the target's address: it has not renewed the lease,
+     * but the target's runs may go on until the lease ends.
+     */
+    void recordUnreachable(TargetIncarnation target) {
+        mPollLeaseEnd = 0;
+        mUnreachablePollCount++;
+        countUnanswered(target, PollSchedule.RETRY_MILLIS);
+    }
+
+    private void countUnanswered(TargetIncarnation target, long minMillis) {
+        mPolledSilenceMillis += minMillis;
         mUnansweredPollCount++;
         if (mUnansweredPollCount == UNRESPONSIVE_AFTER_UNANSWERED) {
             EventLog.line(Event.TARGET_SILENT)
@@ -70,15 +108,12 @@
         }
     }
 
-    /** Records that a poll found no process at the target's address. */
-    void recordUnreachable(TargetIncarnation target) {
-        mUnreachablePollCount++;
-        recordUnanswered(target);
-    }
-
-    /** Returns whether the target's process has ended, so that none of its runs is left. */
-    boolean crashed() {
-        return mUnreachablePollCount >= CRASHED_AFTER_UNREACHABLE;
+    /**
+     * Returns whether the target's process seems to have ended. Its runs may go on all the same
+     * until their lease has expired, as a live target may refuse connections for a while.
+     */
+    boolean seemsGone() {
+        return mUnreachablePollCount >= GONE_AFTER_UNREACHABLE;
     }
 
     /** Sets the clock offset from a reading of the target's clock received now, in milliseconds. */
@@ -88,22 +123,50 @@
 
     /**
      * Returns whether fewer than {@link #UNRESPONSIVE_AFTER_UNANSWERED} polls in a row got no
-     * answer, and the target has not crashed.
+     * answer, and the latest one was not refused.
      */
     boolean responsive() {
-        return mUnansweredPollCount < UNRESPONSIVE_AFTER_UNANSWERED && !crashed();
+        return mUnansweredPollCount < UNRESPONSIVE_AFTER_UNANSWERED && mUnreachablePollCount == 0;
+    }
+
+    /** Returns the end of the lease to request by a start order, on the target's clock. */
+    long requestLeaseByStart() {
+        mLeaseEnd = nextLeaseEnd();
+        return mLeaseEnd;
+    }
+
+    /** Returns the end of the lease to request by the next poll, on the target's clock. */
+    long requestLeaseByPoll() {
+        keepPolledLease();
+        mPollLeaseEnd = nextLeaseEnd();
+        return mPollLeaseEnd;
     }
 
     /**
-     * Returns the end of the lease to request, on the target's clock. While polls go unanswered,
-     * the lease is not extended before it has expired, so that the runs of an unresponsive target
-     * end soon.
+     * Returns the end of the lease to request. While polls go unanswered, the lease is not extended
+     * before it has expired, so that the runs of an unresponsive target end soon.
      */
-    long nextLeaseEnd() {
-        if (mUnansweredPollCount == 0 || mNow > mLatestLeaseEnd) {
-            mLatestLeaseEnd = Math.max(mLatestLeaseEnd, mNow + mLeaseMillis);
-        }
-        return mLatestLeaseEnd + mClockOffset;
+    private long nextLeaseEnd() {
+        long latest = latestLeaseEnd();
+        return mUnansweredPollCount == 0 || targetNow() > latest
+                ? Math.max(latest, targetNow() + mLeaseMillis)
+                : latest;
+    }
+
+    /** Returns a time that the target's clock has certainly reached, unless this clock jumped. */
+    private long targetNow() {
+        return mNow + mClockOffset;
+    }
+
+    /** Returns when the last lease that the target may hold ends, on its clock. */
+    private long latestLeaseEnd() {
+        return Math.max(mLeaseEnd, mPollLeaseEnd);
+    }
+
+    /** Records that the latest poll may have reached the target. */
+    private void keepPolledLease() {
+        mLeaseEnd = latestLeaseEnd();
+        mPollLeaseEnd = 0;
     }
 
     /**
@@ -119,8 +182,17 @@
      * the clock jumps when the instance was suspended or its system time was set.
      */
     boolean leaseHasExpired() {
-        return mUnansweredPollCount >= MIN_UNANSWERED_FOR_EXPIRY
-                && mNow > mLatestLeaseEnd + PoolTiming.LEASE_SLACK_MILLIS;
+        return mPolledSilenceMillis >= MIN_POLLED_SILENCE_MILLIS
+                && targetNow() > latestLeaseEnd() + PoolTiming.LEASE_SLACK_MILLIS;
+    }
+
+    /** Records a new incarnation of the target, whose clock starts anew, with its reading. */
+    void onNewIncarnation(long clock) {
+        long lastLeaseEnd = latestLeaseEnd() - mClockOffset;
+        recordClock(clock);
+        mLeaseEnd = lastLeaseEnd + mClockOffset;
+        mPollLeaseEnd = 0;
+        recordHeard();
     }
 
     /** Returns the time since the last call of {@link #recordHeard}, in milliseconds. */
