--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/DeadlyTaskTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/DeadlyTaskTest.java
@@ -61,16 +61,9 @@
         assertTrue(result.deadly().mostStartsBeyondLimit() < FORBIDDEN_STARTS, result.toString());
     }
 
-    /**
-     * Jobs of kinds without deadly tasks are served nearly as well as if there were none. Listed in
-     * KNOWN-RED.txt.
-     */
-    @Test(dataProvider = "seeds", groups = "known-red")
+    /** Jobs of kinds without deadly tasks are served nearly as well as if there were none. */
+    @Test(dataProvider = "seeds")
     public void servesOtherJobsWhileTasksCrashTheirWorkers(long seed) {
-        checkServedOfOthers(seed);
-    }
-
-    private static void checkServedOfOthers(long seed) {
         Result calm = play(seed, 0);
         Result result = play(seed, DEADLY_SHARE);
         double ratio = result.servedOfOthers() / calm.servedOfOthers();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
@@ -24,38 +24,41 @@
     /** An innocent task that meets two crashes must not fail its job. */
     @Test
     public void givesUpATaskAtTheThirdCrashAndNotBefore() {
-        mQuarantine.recordCrash(List.of("task", "other"), "a", NOW);
-        mQuarantine.recordCrash(List.of("task"), "b", NOW);
+        mQuarantine.recordCrash("task", "queue", "a", NOW);
+        mQuarantine.recordCrash("other", "queue", "a", NOW);
+        mQuarantine.recordCrash("task", "queue", "b", NOW);
         assertFalse(mQuarantine.givenUp("task"), "both may have had another cause");
-        mQuarantine.recordCrash(List.of("task"), "c", NOW);
+        mQuarantine.recordCrash("task", "queue", "c", NOW);
         assertTrue(mQuarantine.givenUp("task"));
         assertFalse(mQuarantine.givenUp("other"));
     }
 
     @Test
     public void countsARepeatedReportOnce() {
-        mQuarantine.recordCrash(List.of("task"), "a", NOW);
-        assertEquals(mQuarantine.recordCrash(List.of("task"), "a", NOW), List.of());
+        mQuarantine.recordCrash("task", "queue", "a", NOW);
+        assertFalse(mQuarantine.recordCrash("task", "queue", "a", NOW));
         assertEquals(mQuarantine.crashes("task"), 1);
     }
 
     @Test
     public void clearsATaskThatSucceeds() {
-        mQuarantine.recordCrash(List.of("task"), "a", NOW);
+        mQuarantine.recordCrash("task", "queue", "a", NOW);
         mQuarantine.recordDone("task");
         assertFalse(mQuarantine.suspected("task"));
     }
 
     @Test
     public void neverReturnsATaskToATargetThatCrashedUnderIt() {
-        mQuarantine.recordCrash(List.of("task"), "a", NOW);
+        mQuarantine.recordCrash("task", "queue", "a", NOW);
         assertFalse(mQuarantine.admits("task", "queue", "a"));
         assertTrue(mQuarantine.admits("task", "queue", "b"));
     }
 
     @Test
     public void confinesAQueueToTargetsThatNoOtherQueueUses() {
-        mQuarantine.recordGivenUp("bad", NOW);
+        mQuarantine.recordCrash("task", "bad", "a", NOW);
+        assertFalse(mQuarantine.confined("bad"), "one crash may have any cause");
+        mQuarantine.recordCrash("task", "bad", "b", NOW);
         for (String sidecar : SIDECARS) {
             boolean confined = mQuarantine.admits("x", "bad", sidecar);
             assertEquals(mQuarantine.admits("y", "good", sidecar), !confined);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/CapacityChangeTest.java
@@ -166,7 +166,7 @@
     }
 
     private void start(Run run, Demand demand) {
-        PoolMessage.StartTask task = new PoolMessage.StartTask(run, "payload", demand);
+        PoolMessage.StartTask task = new PoolMessage.StartTask(run, "queue", "payload", demand);
         mLastStartNumber++;
         handle(
                 new PoolSidecarEvent.EntrySent(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTest.java
@@ -167,7 +167,11 @@
         assertEquals(reports(), List.of());
         assertFalse(mCore.serving());
         answerPoll(List.of(new RunSnapshot.Running(OTHER_RUN.task(), 1)), List.of());
-        assertEquals(reports(), List.of(new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(
+                reports(),
+                List.of(
+                        new TaskReport(RUN, ReportKind.SUSPECTED, "queue"),
+                        new TaskReport(RUN, ReportKind.CRASHED)));
         assertEquals(mCore.free().cores(), 15.0);
         assertTrue(mCore.serving());
     }
@@ -303,7 +307,7 @@
     }
 
     private static PoolMessage.StartTask task(Run run, double cores) {
-        return new PoolMessage.StartTask(run, "payload", new Demand(cores, 1, 0));
+        return new PoolMessage.StartTask(run, "queue", "payload", new Demand(cores, 1, 0));
     }
 
     private void start(Run run, double cores) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -18,6 +18,7 @@
     static final NodeId OWNER = new NodeId("owner", 1);
     static final NodeId OTHER = new NodeId("other", 1);
     static final long LEASE_MILLIS = 1_000;
+    static final String QUEUE = "queue";
     static final String JOB = "00000000000000aa";
     static final Run RUN = new Run(JOB + ".0.0.0", 1);
     static final TargetIncarnation TARGET =
@@ -45,7 +46,7 @@
 
     /** Starts a run of the owner, which the target confirms. */
     void start(Run run) {
-        PoolMessage.StartTask task = new PoolMessage.StartTask(run, "", new Demand(1, 0, 0));
+        PoolMessage.StartTask task = new PoolMessage.StartTask(run, QUEUE, "", new Demand(1, 0, 0));
         send(OWNER, new PoolMessage.Start(1, mNow, List.of(task)));
         handle(new PoolSidecarEvent.StartAnswered(run, StartReply.STARTED));
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/RestartedTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/RestartedTargetTest.java
@@ -40,7 +40,11 @@
         start(OTHER_RUN);
         answerPollAs(RESTARTED, OTHER_RUN);
         answerPollAs(RESTARTED, OTHER_RUN);
-        assertEquals(reports(OWNER), List.of(new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(
+                reports(OWNER),
+                List.of(
+                        new TaskReport(RUN, ReportKind.SUSPECTED, QUEUE),
+                        new TaskReport(RUN, ReportKind.CRASHED)));
     }
 
     @Test
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
@@ -33,6 +33,8 @@
     private static final TargetIncarnation TARGET = target(5, 1, false);
 
     private PoolSidecarCore mCore;
+    private static final String QUEUE = "queue";
+    private static final TaskReport SUSPECT = new TaskReport(RUN, ReportKind.SUSPECTED, QUEUE);
     private static final Run OTHER_RUN = new Run("00000000000000bb.0.0.0", 1);
 
     private long mNow;
@@ -58,17 +60,27 @@
     }
 
     @Test
-    public void reportsTheRunsOfACrashedTargetToAllEntriesOnceItsLeaseIsOver() {
+    public void reportsTheRunsOfACrashedTargetOnceItsLeaseIsOver() {
         long crashedAt = mNow;
         crash();
         assertTrue(mNow - crashedAt > mLatestLeaseEnd + PoolTiming.LEASE_SLACK_MILLIS);
         assertTrue(mNow - crashedAt <= MAX_CONVICTION_MILLIS, "after " + (mNow - crashedAt));
-        List<TaskReport> crashed = List.of(new TaskReport(RUN, ReportKind.CRASHED));
-        assertEquals(reports(OWNER), crashed);
-        assertEquals(reports(OTHER), crashed);
+        assertEquals(states(OWNER), List.of(new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(suspects(OWNER), List.of(SUSPECT));
+        assertEquals(reports(OTHER), List.of(SUSPECT));
         assertFalse(mCore.serving());
     }
 
+    /** Suspicion needs no proof, and the queues of deadly tasks are confined the sooner for it. */
+    @Test
+    public void tellsAllEntriesOfSuspectsAtTheSecondRefusedPoll() {
+        pollUnreachable();
+        assertEquals(reports(OTHER), List.of());
+        pollUnreachable();
+        assertEquals(reports(OWNER), List.of(SUSPECT));
+        assertEquals(reports(OTHER), List.of(SUSPECT));
+    }
+
     @Test
     public void startsNoTaskAgainThatRanWhenItsTargetCrashed() {
         crash();
@@ -77,7 +89,7 @@
         answerPoll(next);
         mSent.clear();
         start(OTHER, NEXT_RUN, 1);
-        assertEquals(reports(OTHER), List.of(new TaskReport(NEXT_RUN, ReportKind.CRASHED)));
+        assertEquals(reports(OTHER), List.of(new TaskReport(NEXT_RUN, ReportKind.NOT_SERVING)));
     }
 
     @Test
@@ -85,7 +97,7 @@
         crash();
         NodeId late = new NodeId("late", 1);
         handle(new PoolSidecarEvent.EntryConnected(late));
-        assertEquals(reports(late), List.of(new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(reports(late), List.of(SUSPECT));
     }
 
     @Test
@@ -110,18 +122,14 @@
         pollUnreachable();
         handle(new PoolSidecarEvent.EntrySent(OWNER, new PoolMessage.Stop(List.of(RUN))));
         crash();
-        assertEquals(reports(OTHER), List.of(new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(reports(OTHER), List.of(SUSPECT));
     }
 
     @Test
     public void blamesNoRunThatIsNotKnownToHaveStarted() {
         start(OTHER, OTHER_RUN, 1);
         crash();
-        assertEquals(
-                reports(OTHER),
-                List.of(
-                        new TaskReport(RUN, ReportKind.CRASHED),
-                        new TaskReport(OTHER_RUN, ReportKind.ENDED)));
+        assertEquals(reports(OTHER), List.of(SUSPECT, new TaskReport(OTHER_RUN, ReportKind.ENDED)));
     }
 
     /** A target that refuses connections may still execute its runs under their lease. */
@@ -129,12 +137,12 @@
     public void keepsTheRunsOfATargetThatRefusesConnectionsWhileItsLeaseMayBeValid() {
         pollUnreachable();
         pollUnreachable();
-        assertEquals(reports(OWNER), List.of());
-        assertEquals(reports(OTHER), List.of());
+        assertEquals(states(OWNER), List.of());
+        assertEquals(states(OTHER), List.of());
         assertFalse(mCore.serving());
         assertEquals(mCore.free().cores(), 15.0);
         handle(new PoolSidecarEvent.EntrySent(OWNER, new PoolMessage.Resume(List.of(RUN))));
-        assertEquals(reports(OWNER), List.of(new TaskReport(RUN, ReportKind.HELD)));
+        assertEquals(states(OWNER), List.of(new TaskReport(RUN, ReportKind.HELD)));
     }
 
     /** The task must not be started a second time beside the run that goes on. */
@@ -144,8 +152,8 @@
         pollUnreachable();
         answerPoll(TARGET, RUN);
         start(OTHER, NEXT_RUN, 1);
-        assertEquals(reports(OWNER), List.of());
-        assertEquals(reports(OTHER), List.of(new TaskReport(NEXT_RUN, ReportKind.NO_ROOM)));
+        assertEquals(states(OWNER), List.of());
+        assertEquals(states(OTHER), List.of(new TaskReport(NEXT_RUN, ReportKind.NO_ROOM)));
     }
 
     @Test
@@ -157,9 +165,8 @@
         handle(new PoolSidecarEvent.TargetAnnounced(next));
         assertTrue(mLastPollNumber > lastPollNumber, "polled at once");
         answerPoll(next);
-        List<TaskReport> crashed = List.of(new TaskReport(RUN, ReportKind.CRASHED));
-        assertEquals(reports(OWNER), crashed);
-        assertEquals(reports(OTHER), crashed);
+        assertEquals(reports(OWNER), List.of(SUSPECT, new TaskReport(RUN, ReportKind.CRASHED)));
+        assertEquals(reports(OTHER), List.of(SUSPECT));
         assertTrue(mCore.serving());
     }
 
@@ -200,14 +207,14 @@
         }
         mNow += 10_000;
         handle(new PoolSidecarEvent.Tick());
-        assertEquals(reports(OWNER), List.of());
+        assertEquals(states(OWNER), List.of());
     }
 
     /** Lets polls be refused until the runs count as ended. */
     private void crash() {
         refusePoll();
         while (mCore.free().cores() < CORES) {
-            assertEquals(reports(OWNER), List.of());
+            assertEquals(states(OWNER), List.of());
             waitForNextPoll();
             refusePoll();
         }
@@ -247,7 +254,7 @@
     }
 
     private void start(NodeId entry, Run run, long number) {
-        PoolMessage.StartTask task = new PoolMessage.StartTask(run, "", new Demand(1, 0, 0));
+        PoolMessage.StartTask task = new PoolMessage.StartTask(run, QUEUE, "", new Demand(1, 0, 0));
         handle(
                 new PoolSidecarEvent.EntrySent(
                         entry, new PoolMessage.Start(number, mNow, List.of(task))));
@@ -265,6 +272,19 @@
         }
     }
 
+    /** Returns the reports to an entry on the states of its runs, which leave out suspicions. */
+    private List<TaskReport> states(NodeId entry) {
+        return reports(entry).stream()
+                .filter(report -> report.kind() != ReportKind.SUSPECTED)
+                .toList();
+    }
+
+    private List<TaskReport> suspects(NodeId entry) {
+        return reports(entry).stream()
+                .filter(report -> report.kind() == ReportKind.SUSPECTED)
+                .toList();
+    }
+
     private List<TaskReport> reports(NodeId entry) {
         return mSent.stream()
                 .filter(send -> send.entry().equals(entry))
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
@@ -77,7 +77,8 @@
                         .map(kind -> new PoolMessage.TaskReport(run, kind))
                         .toList();
         PoolMessage.StartTask task =
-                new PoolMessage.StartTask(run, "work", new Demand(0.001, Long.MAX_VALUE, 2));
+                new PoolMessage.StartTask(
+                        run, "queue", "work", new Demand(0.001, Long.MAX_VALUE, 2));
         Demand overcommitted = new Demand(-0.5, -300, -2);
         List<PoolMessage> all =
                 List.of(
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -23,10 +23,11 @@
      * A request to start one run.
      *
      * @param run the run
+     * @param queue the queue of the task's job
      * @param payload the input of the task
      * @param demand the resources that the task needs
      */
-    record StartTask(Run run, String payload, Demand demand) {}
+    record StartTask(Run run, String queue, String payload, Demand demand) {}
 
     /**
      * The state of a run as a sidecar reports it. The ordinals are the wire format: constants are
@@ -49,19 +50,22 @@
          */
         NO_ROOM,
         /**
-         * The run was not started: the target or its sidecar accepts no new tasks, the request was
-         * too old, or, in response to {@link Resume}, the run is not on record.
+         * The run was not started: the target or its sidecar accepts no new tasks, the task may
+         * have crashed the target before, the request was too old, or, in response to {@link
+         * Resume}, the run is not on record.
          */
         NOT_SERVING,
         /** The run was not started: the target has seen a higher run of the same task. */
         OUTDATED,
         /** The run was not started: the target refused it or could not be reached. */
         REJECTED,
+        /** The run ended without a result, as its target crashed, possibly because of it. */
+        CRASHED,
         /**
-         * The process of the target ended, without leaving first, while it had the run, which may
-         * have caused this.
+         * The run may have crashed its target, and may still be active. Sent to every entry, as any
+         * of them may get the job next.
          */
-        CRASHED
+        SUSPECTED
     }
 
     /**
@@ -69,8 +73,14 @@
      *
      * @param run the run
      * @param kind the state
+     * @param queue the queue of the task's job if the kind is {@code SUSPECTED}, otherwise empty
      */
-    record TaskReport(Run run, ReportKind kind) {}
+    record TaskReport(Run run, ReportKind kind, String queue) {
+        /** Creates a report without a queue. */
+        public TaskReport(Run run, ReportKind kind) {
+            this(run, kind, "");
+        }
+    }
 
     /**
      * Identifies a sidecar; its first message on a connection, sent once a target is known, and
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -133,8 +133,9 @@
         if (report.kind() == ReportKind.HELD) {
             return;
         }
-        if (report.kind() == ReportKind.CRASHED) {
+        if (report.kind() == ReportKind.SUSPECTED) {
             mJobs.giveUpIfDeadly(report.run().task());
+            return;
         }
         Optional<PlacedRun> removed = mJobs.removeRun(sidecar, report.run());
         if (removed.isEmpty()) {
@@ -142,7 +143,7 @@
         }
         PlacedRun placed = removed.get();
         switch (report.kind()) {
-            case HELD -> throw new IllegalStateException("HELD is handled before the switch");
+            case HELD, SUSPECTED -> throw new IllegalStateException(report.kind() + " ends no run");
             case DONE -> onDone(sidecar, placed);
             case FAILED -> onFailed(sidecar, placed);
             case ENDED -> {
@@ -201,29 +202,29 @@
         mJobs.onTaskFailed(placed);
     }
 
-    /** Records the tasks under which the target has crashed, of this entry and of others. */
+    /** Records the tasks under which the target may have crashed, of this entry and of others. */
     private void recordCrashes(SidecarView sidecar, List<TaskReport> reports) {
-        List<String> tasks =
-                reports.stream()
-                        .filter(report -> report.kind() == ReportKind.CRASHED)
-                        .map(report -> report.run().task())
-                        .toList();
-        mState.mQuarantine
-                .recordCrash(tasks, sidecar.node().name(), mState.mNow)
-                .forEach(task ->
-                        EventLog.line(Event.TASK_SUSPECTED)
-                                .with("job", TaskNames.jobOf(task))
-                                .with("task", task)
-                                .with("target", sidecar.mHello.target())
-                                .with("crashes", mState.mQuarantine.crashes(task))
-                                .with("given_up", mState.mQuarantine.givenUp(task))
-                                .write());
+        reports.stream()
+                .filter(report -> report.kind() == ReportKind.SUSPECTED)
+                .forEach(report -> recordCrash(sidecar, report.run().task(), report.queue()));
     }
 
-    private void onCrashed(SidecarView sidecar, PlacedRun placed) {
-        if (mState.mQuarantine.givenUp(placed.mRun.task())) {
-            mState.mQuarantine.recordGivenUp(placed.mTask.mJob.mQueue.name(), mState.mNow);
+    private void recordCrash(SidecarView sidecar, String task, String queue) {
+        boolean added =
+                mState.mQuarantine.recordCrash(task, queue, sidecar.node().name(), mState.mNow);
+        if (added) {
+            EventLog.line(Event.TASK_SUSPECTED)
+                    .with("job", TaskNames.jobOf(task))
+                    .with("task", task)
+                    .with("queue", queue)
+                    .with("target", sidecar.mHello.target())
+                    .with("crashes", mState.mQuarantine.crashes(task))
+                    .with("given_up", mState.mQuarantine.givenUp(task))
+                    .write();
         }
+    }
+
+    private void onCrashed(SidecarView sidecar, PlacedRun placed) {
         mState.count(PoolEntryCounter.TASKS_CRASHED);
         mState.mDurations.recordEnded(placed, "crashed", mState.mNow);
         logRetry(sidecar, placed, "crashed");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -148,6 +148,11 @@
         sidecar.addRun(new PlacedRun(task, run, mState.mNow, expectedMillis), mState.mNow);
         round.mOrders
                 .computeIfAbsent(sidecar, key -> new ArrayList<>())
-                .add(new StartTask(run, task.mJob.mJob.payload(), task.mStep.demand()));
+                .add(
+                        new StartTask(
+                                run,
+                                task.mJob.mQueue.name(),
+                                task.mJob.mJob.payload(),
+                                task.mStep.demand()));
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/CrashHistory.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/CrashHistory.java
@@ -13,6 +13,11 @@
     /** A task under which so many targets have crashed is given up. */
     private static final int MAX_CRASHES = 3;
 
+    /**
+     * After so many crashes under one task it is likely, though not certain, that it causes them.
+     */
+    private static final int MIN_REPEATED_CRASHES = 2;
+
     private static final long RETENTION_MILLIS = 30_000;
 
     /** The crashes under one task. */
@@ -42,6 +47,11 @@
         return suspect == null ? 0 : suspect.mSidecars.size();
     }
 
+    /** Returns whether a task is likely to be the cause of crashes. */
+    boolean repeated(String task) {
+        return crashes(task) >= MIN_REPEATED_CRASHES;
+    }
+
     /** Returns whether a task must not run again. */
     boolean givenUp(String task) {
         return crashes(task) >= MAX_CRASHES;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
@@ -13,15 +13,16 @@
 
 /**
  * Limits the harm of tasks that crash the targets which start them. A task under which a third
- * target crashes is given up: targets also crash for other causes, so fewer prove nothing. Its
- * queue is then confined for a while: its tasks only run on a few targets, the same ones for all
- * entries, and no other queue uses these.
+ * target crashes is given up: targets also crash for other causes, so fewer prove nothing. At the
+ * second crash its queue is confined for a while, which does little harm if the task is innocent:
+ * its tasks only run on a few targets, the same ones for all entries, and no other queue uses
+ * these.
  *
  * <p>A crash makes suspects of all tasks that ran on the target, and most are innocent: a suspect
  * never returns to a target that has crashed under it, and no two suspects of an entry share one.
  */
 public final class Quarantine {
-    /** How long a queue is confined after one of its tasks was last given up. */
+    /** How long a queue is confined after the last repeated crash under one of its tasks. */
     private static final long CONFINEMENT_MILLIS = 4_000;
 
     /** One of so many targets of a service is for confined queues. */
@@ -29,10 +30,10 @@
 
     private final CrashHistory mHistory = new CrashHistory();
 
-    /** How many tasks of each queue were given up since no queue was confined. */
-    private final Map<String, Integer> mGivenUpCounts = new HashMap<>();
+    /** Number of repeated crashes under the tasks of each queue since no queue was confined. */
+    private final Map<String, Integer> mRepeatedCrashCounts = new HashMap<>();
 
-    /** The confined queue: that with the most tasks given up. */
+    /** The confined queue: that with the most repeated crashes. */
     private Optional<String> mConfinedQueue = Optional.empty();
 
     /** When the confinement ends, in milliseconds since the epoch. */
@@ -42,38 +43,41 @@
     private Set<String> mMembers = Set.of();
 
     /**
-     * Records that a target has crashed under tasks; those already recorded for it have no effect.
+     * Records that a target may have crashed under a task, and confines the queue of the task if
+     * another one has before.
      *
+     * @param queue the queue of the task's job
      * @param sidecar the name of the sidecar of that target
-     * @return the tasks that were not recorded for it before
+     * @return false if this was recorded before
      */
-    public List<String> recordCrash(List<String> tasks, String sidecar, long now) {
-        if (!tasks.isEmpty() && mMembers.contains(sidecar)) {
+    public boolean recordCrash(String task, String queue, String sidecar, long now) {
+        if (mMembers.contains(sidecar)) {
             mConfinedUntil = now + CONFINEMENT_MILLIS;
         }
-        List<String> added =
-                tasks.stream().filter(task -> !mHistory.crashedAt(task, sidecar)).toList();
-        added.forEach(task -> mHistory.record(task, sidecar, now));
-        return added;
-    }
-
-    /** Clears a task of suspicion, as a run of it has succeeded. */
-    public void recordDone(String task) {
-        mHistory.recordDone(task);
+        if (mHistory.crashedAt(task, sidecar)) {
+            return false;
+        }
+        mHistory.record(task, sidecar, now);
+        if (mHistory.repeated(task)) {
+            recordRepeatedCrash(queue, now);
+        }
+        return true;
     }
 
-    /**
-     * Records that a task of a queue was given up, and confines the queue for a while. An innocent
-     * task is given up now and then, so only the queue with the most such tasks is confined.
-     */
-    public void recordGivenUp(String queue, long now) {
-        int count = mGivenUpCounts.merge(queue, 1, Integer::sum);
-        if (mConfinedQueue.map(mGivenUpCounts::get).orElse(0) <= count) {
+    /** Confines a queue, unless another one has had more repeated crashes. */
+    private void recordRepeatedCrash(String queue, long now) {
+        int count = mRepeatedCrashCounts.merge(queue, 1, Integer::sum);
+        if (mConfinedQueue.map(mRepeatedCrashCounts::get).orElse(0) <= count) {
             mConfinedQueue = Optional.of(queue);
         }
         mConfinedUntil = now + CONFINEMENT_MILLIS;
     }
 
+    /** Clears a task of suspicion, as a run of it has succeeded. */
+    public void recordDone(String task) {
+        mHistory.recordDone(task);
+    }
+
     /** Returns how many targets have crashed under a task. */
     public int crashes(String task) {
         return mHistory.crashes(task);
@@ -128,7 +132,7 @@
         mHistory.evictExpired(now);
         if (mConfinedUntil <= now) {
             mConfinedQueue = Optional.empty();
-            mGivenUpCounts.clear();
+            mRepeatedCrashCounts.clear();
         }
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/CrashedTasks.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/CrashedTasks.java
@@ -1,11 +1,8 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
-import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 
 /**
@@ -16,7 +13,7 @@
     private static final int MAX_TASKS = 1_000;
     private static final long RETENTION_MILLIS = 30_000;
 
-    private record Crash(Run run, long expiresAt) {}
+    private record Crash(TaskReport report, long expiresAt) {}
 
     /** By task; the oldest are forgotten first. */
     private final Map<String, Crash> mCrashes =
@@ -29,9 +26,10 @@
                 }
             };
 
-    void add(Run run, long now) {
-        mCrashes.remove(run.task());
-        mCrashes.put(run.task(), new Crash(run, now + RETENTION_MILLIS));
+    void add(TaskReport report, long now) {
+        String task = report.run().task();
+        mCrashes.remove(task);
+        mCrashes.put(task, new Crash(report, now + RETENTION_MILLIS));
     }
 
     boolean contains(String task) {
@@ -44,9 +42,6 @@
 
     /** Returns a report on each of the tasks. */
     List<TaskReport> reports() {
-        List<TaskReport> reports = new ArrayList<>();
-        mCrashes.values()
-                .forEach(crash -> reports.add(new TaskReport(crash.run(), ReportKind.CRASHED)));
-        return reports;
+        return mCrashes.values().stream().map(Crash::report).toList();
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -1,7 +1,9 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
+import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 import org.jackdawsaddle.internal.pool.TaskNames;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
@@ -43,6 +45,9 @@
     /** Whether the target has confirmed the start, or a snapshot has listed the run. */
     private boolean mStarted;
 
+    /** Whether the run was reported as one that may have crashed its target. */
+    boolean mSuspected;
+
     /** Whether the latest stop order still awaits its answer or timeout. */
     boolean mStopInFlight;
 
@@ -76,6 +81,11 @@
         return !mTargetLeft && mStarted;
     }
 
+    /** Returns the report that the run may have crashed its target. */
+    TaskReport suspectedReport() {
+        return new TaskReport(mStartTask.run(), ReportKind.SUSPECTED, mStartTask.queue());
+    }
+
     /**
      * Returns when a stop is ordered again, in milliseconds since the epoch; {@code Long.MAX_VALUE}
      * if none is requested, confirmed or still unanswered.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -10,7 +10,6 @@
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
-import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.RunSnapshot;
@@ -263,7 +262,9 @@
             case PoolMessage.Start start -> onStart(entry, view, start);
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
             case PoolMessage.Resume resume ->
-                    resume.runs().forEach(run -> report(entry, run, mRuns.statusOf(run)));
+                    resume.runs()
+                            .forEach(
+                                    run -> report(entry, new TaskReport(run, mRuns.statusOf(run))));
             case PoolMessage.Ping ping -> onPing(entry, view, ping);
             case PoolMessage.ConfigurationPush push -> onConfiguration(push);
             default ->
@@ -293,7 +294,7 @@
             Optional<ReportKind> refusal = refusal(task, current);
             if (refusal.isPresent()) {
                 count(PoolSidecarCounter.STARTS_REFUSED);
-                report(entry, task.run(), refusal.get());
+                report(entry, new TaskReport(task.run(), refusal.get()));
             } else {
                 mRuns.start(entry, task);
             }
@@ -304,13 +305,12 @@
         if (!current || !serving()) {
             return Optional.of(ReportKind.NOT_SERVING);
         }
-        if (mCrashedTasks.contains(task.run().task())) {
-            return Optional.of(ReportKind.CRASHED);
-        }
         if (mRuns.held().holdsTask(task.run().task()) || !task.demand().fitsIn(free())) {
             return Optional.of(ReportKind.NO_ROOM);
         }
-        return Optional.empty();
+        return mCrashedTasks.contains(task.run().task())
+                ? Optional.of(ReportKind.NOT_SERVING)
+                : Optional.empty();
     }
 
     /**
@@ -354,15 +354,15 @@
 
     /**
      * Queues a report until the entry is connected; drops it if the entry is not known any more. A
-     * crash is reported to all entries, as any of them may get the job next.
+     * run that may have crashed the target is reported to all entries.
      */
-    private void report(NodeId owner, Run run, ReportKind kind) {
-        if (kind == ReportKind.CRASHED && !mCrashedTasks.contains(run.task())) {
-            mCrashedTasks.add(run, mNow);
-            mEntries.forEach((entry, view) -> view.addReport(new TaskReport(run, kind)));
-            return;
+    private void report(NodeId owner, TaskReport report) {
+        if (report.kind() == ReportKind.SUSPECTED) {
+            mCrashedTasks.add(report, mNow);
+            mEntries.forEach((entry, view) -> view.addReport(report));
+        } else {
+            mEntries.find(owner).ifPresent(view -> view.addReport(report));
         }
-        mEntries.find(owner).ifPresent(view -> view.addReport(new TaskReport(run, kind)));
     }
 
     private void count(PoolSidecarCounter counter) {
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunEnds.java
@@ -0,0 +1,93 @@
+package org.jackdawsaddle.internal.pool.sidecar;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
+import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
+import org.jackdawsaddle.internal.message.PoolMessage.Run;
+import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
+
+/** Ends runs: removes them from those that are held, and reports how they ended. */
+final class RunEnds {
+    private final HeldRuns mHeldRuns;
+    private final RunReporter mReporter;
+    private final Consumer<PoolSidecarCounter> mCounter;
+    private final RecentEnds mRecentEnds = new RecentEnds();
+
+    RunEnds(HeldRuns heldRuns, RunReporter reporter, Consumer<PoolSidecarCounter> counter) {
+        mHeldRuns = heldRuns;
+        mReporter = reporter;
+        mCounter = counter;
+    }
+
+    /** Returns how a run has ended lately. */
+    Optional<ReportKind> find(Run run) {
+        return mRecentEnds.find(run);
+    }
+
+    /** Ends a run as its target has reported. */
+    void end(HeldRun held, ReportKind kind) {
+        Run run = held.mStartTask.run();
+        mHeldRuns.remove(held);
+        mRecentEnds.add(run, kind);
+        mReporter.report(held.mOwner, new TaskReport(run, kind));
+    }
+
+    /**
+     * Ends a run that a snapshot does not list.
+     *
+     * @param sameIncarnation whether the incarnation that was ordered to start the run has answered
+     * @param silentMillis for how long the target was silent, in milliseconds
+     */
+    void endOmitted(HeldRun held, boolean sameIncarnation, long silentMillis) {
+        if (sameIncarnation) {
+            endLost(held, false, EndEvidence.OMITTED, silentMillis);
+        } else {
+            endLost(held, true, EndEvidence.REPLACED, silentMillis);
+        }
+    }
+
+    /**
+     * Ends all runs, as their lease has expired.
+     *
+     * @param crashed whether the target seems to have crashed
+     * @param silentMillis for how long the target was silent, in milliseconds
+     */
+    void endAll(boolean crashed, long silentMillis) {
+        EventLog.line(Event.RUNS_LOST)
+                .with("runs", mHeldRuns.runs())
+                .with("silent_ms", silentMillis)
+                .with("crashed", crashed)
+                .write();
+        List.copyOf(mHeldRuns.values())
+                .forEach(held -> endLost(held, crashed, EndEvidence.LEASE_EXPIRED, silentMillis));
+    }
+
+    private void endLost(HeldRun held, boolean crashed, EndEvidence evidence, long silentMillis) {
+        mCounter.accept(PoolSidecarCounter.RUNS_LOST);
+        mCounter.accept(RunOutcomes.counterOf(evidence));
+        RunLog.lost(held, evidence, silentMillis);
+        if (crashed && held.mayHaveCrashedTarget()) {
+            reportSuspect(held);
+            end(held, ReportKind.CRASHED);
+        } else {
+            end(held, ReportKind.ENDED);
+        }
+    }
+
+    /** Reports the runs that may have crashed the target, and may still be active. */
+    void reportSuspects() {
+        mHeldRuns.values().stream()
+                .filter(HeldRun::mayHaveCrashedTarget)
+                .forEach(this::reportSuspect);
+    }
+
+    private void reportSuspect(HeldRun held) {
+        if (!held.mSuspected) {
+            held.mSuspected = true;
+            mReporter.report(held.mOwner, held.suspectedReport());
+        }
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunLog.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunLog.java
@@ -20,5 +20,19 @@
         line(Event.RUN_STOPPED, run).with("reason", reason).write();
     }
 
+    /**
+     * Writes why a run counts as ended without its target's word.
+     *
+     * @param silentMillis for how long the target has been silent, in milliseconds
+     */
+    static void lost(HeldRun held, EndEvidence evidence, long silentMillis) {
+        line(Event.RUN_LOST, held.mStartTask.run())
+                .with("target", held.mTarget.id())
+                .with("evidence", evidence.logName())
+                .with("state", held.mState)
+                .with("silent_ms", silentMillis)
+                .write();
+    }
+
     private RunLog() {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunReporter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunReporter.java
@@ -1,10 +1,14 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
 import org.jackdawsaddle.NodeId;
-import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
-import org.jackdawsaddle.internal.message.PoolMessage.Run;
+import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 
-/** Reports the state of a run to the entry that owns it. */
+/** Reports the states of runs to entries. */
 interface RunReporter {
-    void report(NodeId owner, Run run, ReportKind kind);
+    /**
+     * Reports the state of a run.
+     *
+     * @param owner the entry that has placed the run
+     */
+    void report(NodeId owner, TaskReport report);
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -26,12 +26,11 @@
     private static final long STOP_RETRY_MILLIS = 100;
 
     private final List<PoolSidecarAction> mActions;
-    private final RunReporter mReporter;
     private final Consumer<PoolSidecarCounter> mCounter;
     private final long mFencingToken;
     private final TargetLiveness mLiveness;
     private final HeldRuns mHeldRuns = new HeldRuns();
-    private final RecentEnds mRecentEnds = new RecentEnds();
+    private final RunEnds mEnds;
 
     private Optional<TargetIncarnation> mTarget = Optional.empty();
     private final PollSchedule mPolls = new PollSchedule();
@@ -45,7 +44,7 @@
             long fencingToken,
             long leaseMillis) {
         mActions = actions;
-        mReporter = reporter;
+        mEnds = new RunEnds(mHeldRuns, reporter, counter);
         mCounter = counter;
         mFencingToken = fencingToken;
         mLiveness = new TargetLiveness(leaseMillis);
@@ -84,7 +83,7 @@
     ReportKind statusOf(Run run) {
         return mHeldRuns.contains(run)
                 ? ReportKind.HELD
-                : mRecentEnds.find(run).orElse(ReportKind.NOT_SERVING);
+                : mEnds.find(run).orElse(ReportKind.NOT_SERVING);
     }
 
     void onTarget(TargetIncarnation target, boolean sameIncarnation) {
@@ -218,7 +217,7 @@
 
     private void onRefused(HeldRun held, ReportKind kind) {
         mCounter.accept(PoolSidecarCounter.STARTS_REFUSED);
-        end(held, kind);
+        mEnds.end(held, kind);
     }
 
     void onStopAnswered(Run run, boolean confirmed) {
@@ -253,6 +252,9 @@
     private void onPollFailed() {
         mCounter.accept(PoolSidecarCounter.POLLS_UNANSWERED);
         mPolls.retryLater();
+        if (mLiveness.seemsGone()) {
+            mEnds.reportSuspects();
+        }
         endAllIfLeaseHasExpired();
     }
 
@@ -277,15 +279,8 @@
                 .filter(held -> held.mConclusivePoll <= number)
                 .filter(held -> !running.contains(held.mStartTask.run()))
                 .toList()
-                .forEach(this::endOmitted);
-    }
-
-    private void endOmitted(HeldRun held) {
-        if (current(held.mTarget)) {
-            endLost(held, ReportKind.ENDED, EndEvidence.OMITTED);
-        } else {
-            endLost(held, ReportKind.CRASHED, EndEvidence.REPLACED);
-        }
+                .forEach(held ->
+                        mEnds.endOmitted(held, current(held.mTarget), mLiveness.silentMillis()));
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
@@ -295,7 +290,7 @@
         HeldRun held = mHeldRuns.get(new Run(ended.task(), ended.run()));
         if (held != null) {
             mCounter.accept(RunOutcomes.counterOf(ended.outcome()));
-            end(held, RunOutcomes.kindOf(ended.outcome()));
+            mEnds.end(held, RunOutcomes.kindOf(ended.outcome()));
         }
     }
 
@@ -359,39 +354,8 @@
     }
 
     private void endAllIfLeaseHasExpired() {
-        if (mHeldRuns.isEmpty() || !mLiveness.leaseHasExpired()) {
-            return;
+        if (!mHeldRuns.isEmpty() && mLiveness.leaseHasExpired()) {
+            mEnds.endAll(mLiveness.seemsGone(), mLiveness.silentMillis());
         }
-        ReportKind kind = mLiveness.seemsGone() ? ReportKind.CRASHED : ReportKind.ENDED;
-        EndEvidence evidence = EndEvidence.LEASE_EXPIRED;
-        EventLog.line(Event.RUNS_LOST)
-                .with("runs", mHeldRuns.runs())
-                .with("silent_ms", mLiveness.silentMillis())
-                .with("evidence", evidence.logName())
-                .write();
-        List.copyOf(mHeldRuns.values()).forEach(held -> endLost(held, kind, evidence));
-    }
-
-    /**
-     * Ends a run without a reported end. Only a run that is known to have started may have crashed
-     * its target, and only if the target had not left.
-     */
-    private void endLost(HeldRun held, ReportKind kind, EndEvidence evidence) {
-        mCounter.accept(PoolSidecarCounter.RUNS_LOST);
-        mCounter.accept(RunOutcomes.counterOf(evidence));
-        RunLog.line(Event.RUN_LOST, held.mStartTask.run())
-                .with("target", held.mTarget.id())
-                .with("evidence", evidence.logName())
-                .with("state", held.mState)
-                .with("silent_ms", mLiveness.silentMillis())
-                .write();
-        end(held, held.mayHaveCrashedTarget() ? kind : ReportKind.ENDED);
-    }
-
-    private void end(HeldRun held, ReportKind kind) {
-        Run run = held.mStartTask.run();
-        mHeldRuns.remove(held);
-        mRecentEnds.add(run, kind);
-        mReporter.report(held.mOwner, run, kind);
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -89,7 +89,8 @@
                                     .map(report ->
                                             new TaskReport(
                                                     decode(report.getRun()),
-                                                    REPORT_KINDS[report.getKind()]))
+                                                    REPORT_KINDS[report.getKind()],
+                                                    report.getQueue()))
                                     .toList());
             case POOL_WELCOME ->
                     new Welcome(
@@ -145,6 +146,7 @@
                         .map(task ->
                                 new StartTask(
                                         decode(task.getRun()),
+                                        task.getQueue(),
                                         task.getPayload(),
                                         WireCodec.decode(task.getDemand())))
                         .toList());
@@ -154,12 +156,14 @@
         return Wire.PoolTaskReport.newBuilder()
                 .setRun(encode(report.run()))
                 .setKind(report.kind().ordinal())
+                .setQueue(report.queue())
                 .build();
     }
 
     private static Wire.PoolStartTask encode(StartTask task) {
         return Wire.PoolStartTask.newBuilder()
                 .setRun(encode(task.run()))
+                .setQueue(task.queue())
                 .setPayload(task.payload())
                 .setDemand(WireCodec.encode(task.demand()))
                 .build();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -35018,6 +35018,18 @@
      * @return The kind.
      */
     int getKind();
+
+    /**
+     * <code>string queue = 3;</code>
+     * @return The queue.
+     */
+    java.lang.String getQueue();
+    /**
+     * <code>string queue = 3;</code>
+     * @return The bytes for queue.
+     */
+    com.google.protobuf.ByteString
+        getQueueBytes();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolTaskReport}
@@ -35041,6 +35053,7 @@
       super(builder);
     }
     private PoolTaskReport() {
+      queue_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -35099,6 +35112,45 @@
       return kind_;
     }
 
+    public static final int QUEUE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object queue_ = "";
+    /**
+     * <code>string queue = 3;</code>
+     * @return The queue.
+     */
+    @java.lang.Override
+    public java.lang.String getQueue() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        queue_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string queue = 3;</code>
+     * @return The bytes for queue.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getQueueBytes() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        queue_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -35119,6 +35171,9 @@
       if (kind_ != 0) {
         output.writeInt32(2, kind_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, queue_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -35131,6 +35186,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt32Size(2, kind_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, queue_);
+      }
       return size;
     }
     @java.lang.Override
@@ -35162,6 +35220,8 @@
       }
       if (getKind()
           != other.getKind()) return false;
+      if (!getQueue()
+          .equals(other.getQueue())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -35179,6 +35239,8 @@
       }
       hash = (37 * hash) + KIND_FIELD_NUMBER;
       hash = (53 * hash) + getKind();
+      hash = (37 * hash) + QUEUE_FIELD_NUMBER;
+      hash = (53 * hash) + getQueue().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -35322,6 +35384,7 @@
           runBuilder_ = null;
         }
         kind_ = 0;
+        queue_ = "";
         return this;
       }
 
@@ -35365,6 +35428,9 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.kind_ = kind_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queue_ = queue_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -35386,6 +35452,11 @@
         if (other.getKind() != 0) {
           setKind(other.getKind());
         }
+        if (!other.getQueue().isEmpty()) {
+          queue_ = other.queue_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -35422,6 +35493,11 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
+              case 26: {
+                queue_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -35590,6 +35666,78 @@
         return this;
       }
 
+      private java.lang.Object queue_ = "";
+      /**
+       * <code>string queue = 3;</code>
+       * @return The queue.
+       */
+      public java.lang.String getQueue() {
+        java.lang.Object ref = queue_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          queue_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @return The bytes for queue.
+       */
+      public com.google.protobuf.ByteString
+          getQueueBytes() {
+        java.lang.Object ref = queue_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          queue_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @param value The queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueue(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        queue_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueue() {
+        queue_ = getDefaultInstance().getQueue();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @param value The bytes for queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueueBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        queue_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolTaskReport)
     }
 
@@ -37220,6 +37368,18 @@
      * <code>.org.jackdawsaddle.wire.Demand demand = 3;</code>
      */
     org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder getDemandOrBuilder();
+
+    /**
+     * <code>string queue = 4;</code>
+     * @return The queue.
+     */
+    java.lang.String getQueue();
+    /**
+     * <code>string queue = 4;</code>
+     * @return The bytes for queue.
+     */
+    com.google.protobuf.ByteString
+        getQueueBytes();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolStartTask}
@@ -37244,6 +37404,7 @@
     }
     private PoolStartTask() {
       payload_ = "";
+      queue_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -37356,6 +37517,45 @@
       return demand_ == null ? org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance() : demand_;
     }
 
+    public static final int QUEUE_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object queue_ = "";
+    /**
+     * <code>string queue = 4;</code>
+     * @return The queue.
+     */
+    @java.lang.Override
+    public java.lang.String getQueue() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        queue_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string queue = 4;</code>
+     * @return The bytes for queue.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getQueueBytes() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        queue_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -37379,6 +37579,9 @@
       if (((bitField0_ & 0x00000002) != 0)) {
         output.writeMessage(3, getDemand());
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, queue_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -37394,6 +37597,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, getDemand());
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, queue_);
+      }
       return size;
     }
     @java.lang.Override
@@ -37430,6 +37636,8 @@
         if (!getDemand()
             .equals(other.getDemand())) return false;
       }
+      if (!getQueue()
+          .equals(other.getQueue())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -37451,6 +37659,8 @@
         hash = (37 * hash) + DEMAND_FIELD_NUMBER;
         hash = (53 * hash) + getDemand().hashCode();
       }
+      hash = (37 * hash) + QUEUE_FIELD_NUMBER;
+      hash = (53 * hash) + getQueue().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -37600,6 +37810,7 @@
           demandBuilder_.dispose();
           demandBuilder_ = null;
         }
+        queue_ = "";
         return this;
       }
 
@@ -37649,6 +37860,9 @@
               : demandBuilder_.build();
           to_bitField0_ |= 0x00000002;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.queue_ = queue_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -37675,6 +37889,11 @@
         if (other.hasDemand()) {
           mergeDemand(other.getDemand());
         }
+        if (!other.getQueue().isEmpty()) {
+          queue_ = other.queue_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -37718,6 +37937,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 26
+              case 34: {
+                queue_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -38045,6 +38269,78 @@
         return demandBuilder_;
       }
 
+      private java.lang.Object queue_ = "";
+      /**
+       * <code>string queue = 4;</code>
+       * @return The queue.
+       */
+      public java.lang.String getQueue() {
+        java.lang.Object ref = queue_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          queue_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string queue = 4;</code>
+       * @return The bytes for queue.
+       */
+      public com.google.protobuf.ByteString
+          getQueueBytes() {
+        java.lang.Object ref = queue_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          queue_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string queue = 4;</code>
+       * @param value The queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueue(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        queue_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueue() {
+        queue_ = getDefaultInstance().getQueue();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 4;</code>
+       * @param value The bytes for queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueueBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        queue_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolStartTask)
     }
 
@@ -43343,29 +43639,30 @@
       "(\004\"\210\001\n\010PoolRoom\022,\n\004free\030\001 \001(\0132\036.org.jack" +
       "dawsaddle.wire.Demand\022\017\n\007serving\030\002 \001(\010\022\r" +
       "\n\005clock\030\003 \001(\004\022\026\n\016handled_starts\030\004 \001(\004\022\026\n" +
-      "\016unsettled_jobs\030\005 \003(\t\"L\n\016PoolTaskReport\022" +
+      "\016unsettled_jobs\030\005 \003(\t\"[\n\016PoolTaskReport\022" +
       ",\n\003run\030\001 \001(\0132\037.org.jackdawsaddle.wire.Po" +
-      "olRun\022\014\n\004kind\030\002 \001(\005\"J\n\017PoolTaskReports\0227" +
-      "\n\007reports\030\001 \003(\0132&.org.jackdawsaddle.wire" +
-      ".PoolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030" +
-      "\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n" +
-      "\taddresses\030\002 \003(\t\"~\n\rPoolStartTask\022,\n\003run" +
-      "\030\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun\022" +
-      "\017\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.j" +
-      "ackdawsaddle.wire.Demand\"`\n\tPoolStart\022\016\n" +
-      "\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005tasks\030\003 " +
-      "\003(\0132%.org.jackdawsaddle.wire.PoolStartTa" +
-      "sk\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.jackd" +
-      "awsaddle.wire.PoolRun\";\n\nPoolResume\022-\n\004r" +
-      "uns\030\001 \003(\0132\037.org.jackdawsaddle.wire.PoolR" +
-      "un\";\n\010PoolPing\022\035\n\025configuration_version\030" +
-      "\001 \001(\004\022\020\n\010watching\030\002 \001(\010\"n\n\rPoolPeerHello" +
-      "\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire" +
-      ".NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configuratio" +
-      "n_version\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddres" +
-      "ses\030\001 \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007ve" +
-      "rsion\030\001 \001(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdaw" +
-      "saddle.internal.wire.protoB\004Wireb\006proto3"
+      "olRun\022\014\n\004kind\030\002 \001(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017Po" +
+      "olTaskReports\0227\n\007reports\030\001 \003(\0132&.org.jac" +
+      "kdawsaddle.wire.PoolTaskReport\"O\n\013PoolWe" +
+      "lcome\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle" +
+      ".wire.NodeId\022\021\n\taddresses\030\002 \003(\t\"\215\001\n\rPool" +
+      "StartTask\022,\n\003run\030\001 \001(\0132\037.org.jackdawsadd" +
+      "le.wire.PoolRun\022\017\n\007payload\030\002 \001(\t\022.\n\006dema" +
+      "nd\030\003 \001(\0132\036.org.jackdawsaddle.wire.Demand" +
+      "\022\r\n\005queue\030\004 \001(\t\"`\n\tPoolStart\022\016\n\006number\030\001" +
+      " \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005tasks\030\003 \003(\0132%.org" +
+      ".jackdawsaddle.wire.PoolStartTask\"9\n\010Poo" +
+      "lStop\022-\n\004runs\030\001 \003(\0132\037.org.jackdawsaddle." +
+      "wire.PoolRun\";\n\nPoolResume\022-\n\004runs\030\001 \003(\013" +
+      "2\037.org.jackdawsaddle.wire.PoolRun\";\n\010Poo" +
+      "lPing\022\035\n\025configuration_version\030\001 \001(\004\022\020\n\010" +
+      "watching\030\002 \001(\010\"n\n\rPoolPeerHello\022-\n\005entry" +
+      "\030\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\017" +
+      "\n\007address\030\002 \001(\t\022\035\n\025configuration_version" +
+      "\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001 \003(\t" +
+      "\"6\n\025PoolConfigurationPush\022\017\n\007version\030\001 \001" +
+      "(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdawsaddle.in" +
+      "ternal.wire.protoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -43598,7 +43895,7 @@
     internal_static_org_jackdawsaddle_wire_PoolTaskReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolTaskReport_descriptor,
-        new java.lang.String[] { "Run", "Kind", });
+        new java.lang.String[] { "Run", "Kind", "Queue", });
     internal_static_org_jackdawsaddle_wire_PoolTaskReports_descriptor =
       getDescriptor().getMessageType(38);
     internal_static_org_jackdawsaddle_wire_PoolTaskReports_fieldAccessorTable = new
@@ -43616,7 +43913,7 @@
     internal_static_org_jackdawsaddle_wire_PoolStartTask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolStartTask_descriptor,
-        new java.lang.String[] { "Run", "Payload", "Demand", });
+        new java.lang.String[] { "Run", "Payload", "Demand", "Queue", });
     internal_static_org_jackdawsaddle_wire_PoolStart_descriptor =
       getDescriptor().getMessageType(41);
     internal_static_org_jackdawsaddle_wire_PoolStart_fieldAccessorTable = new
