Record when runs are active, and let a proxy refuse connections

The soak polls which tasks run, and its proxies accept and close each connection, which is no refusal.

--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
@@ -96,6 +96,21 @@
         return host(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
     }
 
+    /** Returns the seed that names the proxy to an entry. */
+    public String proxySeed(int entry) {
+        return proxyHost(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
+    }
+
+    /** Returns where an entry listens for sidecars and other entries. */
+    public String peerAddress(int entry) {
+        return host(FIRST_ENTRY_HOST + entry) + ":" + PEER_PORT;
+    }
+
+    /** Returns where a proxy to the peer address of an entry may listen. */
+    public String peerProxyAddress(int entry) {
+        return proxyHost(FIRST_ENTRY_HOST + entry) + ":" + PEER_PORT;
+    }
+
     /**
      * Returns the settings of an entry.
      *
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerModel.java
@@ -33,9 +33,10 @@
     /**
      * A run that has not ended.
      *
+     * @param startedAt when it started, in milliseconds since the epoch
      * @param endsAt when it ends by itself, in milliseconds since the epoch
      */
-    private record Running(String task, int run, double cores, long endsAt) {}
+    private record Running(String task, int run, double cores, long startedAt, long endsAt) {}
 
     /**
      * A capacity that has shrunk since.
@@ -59,6 +60,9 @@
     /** The ended runs that no acknowledgement cursor has reached yet, oldest first. */
     private final List<RunSnapshot.Ended> mUnacknowledgedEnds = new ArrayList<>();
 
+    /** All runs that have ended. */
+    private final List<RunInterval> mEndedIntervals = new ArrayList<>();
+
     private long mHighestFencingToken;
     private long mLeaseUntil;
     private long mEndCount;
@@ -144,15 +148,31 @@
         return Set.copyOf(mStartedTasks);
     }
 
+    /** Returns when all runs so far were active, in no particular order. */
+    public List<RunInterval> intervals() {
+        List<RunInterval> intervals = new ArrayList<>(mEndedIntervals);
+        mRunning.values().forEach(run -> intervals.add(interval(run, RunInterval.NOT_ENDED)));
+        return intervals;
+    }
+
+    /** Loses all runs, as the worker's process has ended. */
+    public void crash(long now) {
+        advance(now);
+        mRunning.values().forEach(run -> mEndedIntervals.add(interval(run, now)));
+        mRunning.clear();
+    }
+
     /** Advances to the given time: ends the runs that are due, or all if the lease has expired. */
     public void advance(long now) {
         if (!mRunning.isEmpty() && clock(now) >= mLeaseUntil) {
-            List.copyOf(mRunning.values()).forEach(run -> end(run, RunSnapshot.Outcome.CUT_OFF));
+            long expiredAt = mStartedAt + mLeaseUntil;
+            List.copyOf(mRunning.values())
+                    .forEach(run -> end(run, RunSnapshot.Outcome.CUT_OFF, expiredAt));
         }
         if (!mStalled) {
             List.copyOf(mRunning.values()).stream()
                     .filter(run -> run.endsAt() <= now)
-                    .forEach(run -> end(run, RunSnapshot.Outcome.DONE));
+                    .forEach(run -> end(run, RunSnapshot.Outcome.DONE, run.endsAt()));
         }
     }
 
@@ -186,14 +206,14 @@
         extendLease(leaseUntil, now);
         String[] fields = payload.split(" ");
         long millis = Math.round(Double.parseDouble(fields[0]) / mSpeed);
-        Running started = new Running(task, run, Double.parseDouble(fields[1]), now + millis);
+        Running started = new Running(task, run, Double.parseDouble(fields[1]), now, now + millis);
         mRunning.put(task, started);
         mStartedTasks.add(task);
         if (usedCores() > countedCores(now)) {
             mStartsOverCapacity++;
         }
         if (mFailing) {
-            end(started, RunSnapshot.Outcome.FAILED);
+            end(started, RunSnapshot.Outcome.FAILED, now);
         }
         return StartReply.STARTED;
     }
@@ -212,7 +232,7 @@
         mTombstones.merge(task, run, Math::max);
         Running current = mRunning.get(task);
         if (current != null && current.run() <= run) {
-            end(current, RunSnapshot.Outcome.CUT_OFF);
+            end(current, RunSnapshot.Outcome.CUT_OFF, now);
         }
         return true;
     }
@@ -242,10 +262,15 @@
         mLeaseUntil = Math.max(mLeaseUntil, Math.min(leaseUntil, clock(now) + LEASE_MILLIS));
     }
 
-    private void end(Running run, RunSnapshot.Outcome outcome) {
+    private void end(Running run, RunSnapshot.Outcome outcome, long endedAt) {
         mRunning.remove(run.task());
+        mEndedIntervals.add(interval(run, endedAt));
         mTombstones.merge(run.task(), run.run(), Math::max);
         mEndCount++;
         mUnacknowledgedEnds.add(new RunSnapshot.Ended(mEndCount, run.task(), run.run(), outcome));
     }
+
+    private static RunInterval interval(Running run, long endedAt) {
+        return new RunInterval(run.task(), run.run(), run.startedAt(), endedAt);
+    }
 }
--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
@@ -83,6 +83,7 @@
     private final HttpServer mServer;
     private final List<PendingPoll> mPendingPolls = new ArrayList<>();
     private final Set<String> mTasksBeforeRestart = new HashSet<>();
+    private final List<RunInterval> mIntervalsBeforeRestart = new ArrayList<>();
     private int mStartsOverCapacityBeforeRestart;
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
@@ -147,6 +148,8 @@
      * neither fails nor stalls runs.
      */
     public synchronized void restart() {
+        mModel.crash(mClock.now());
+        mIntervalsBeforeRestart.addAll(mModel.intervals());
         mTasksBeforeRestart.addAll(mModel.startedTasks());
         mStartsOverCapacityBeforeRestart += mModel.startsOverCapacity();
         mModel = new WorkerModel(mConfig.cores(), mConfig.speed(), mClock.now());
@@ -174,6 +177,14 @@
         return tasks;
     }
 
+    /** Returns when the runs of all incarnations were active, in no particular order. */
+    public synchronized List<RunInterval> intervals() {
+        mModel.advance(mClock.now());
+        List<RunInterval> intervals = new ArrayList<>(mIntervalsBeforeRestart);
+        intervals.addAll(mModel.intervals());
+        return intervals;
+    }
+
     private interface OrderHandler {
         void handle(HttpServerExchange exchange, OrderBody order);
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
@@ -27,7 +27,7 @@
     private volatile boolean mStallResponses;
     private volatile boolean mRefuseConnections;
     private volatile long mDelayMillis;
-    private ServerSocket mServerSocket;
+    private volatile ServerSocket mServerSocket;
 
     /**
      * Creates a proxy that is not running.
@@ -41,14 +41,29 @@
     }
 
     void start() {
+        listen();
+    }
+
+    /** Accepts connections, at first or again after {@link #stopListening}. */
+    void listen() {
         try {
-            mServerSocket = new ServerSocket();
-            mServerSocket.setReuseAddress(true);
-            mServerSocket.bind(mListenAddress);
+            ServerSocket serverSocket = new ServerSocket();
+            serverSocket.setReuseAddress(true);
+            serverSocket.bind(mListenAddress);
+            mServerSocket = serverSocket;
+            Thread.ofVirtual().start(() -> accept(serverSocket));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        Thread.ofVirtual().start(this::accept);
+    }
+
+    /**
+     * Closes all connections and the listening socket: until {@link #listen} the kernel refuses new
+     * connections, as if no process used the address.
+     */
+    void stopListening() {
+        close(mServerSocket);
+        closeAll();
     }
 
     void stop() {
@@ -82,10 +97,10 @@
         closeAll();
     }
 
-    private void accept() {
-        while (!mServerSocket.isClosed()) {
+    private void accept(ServerSocket serverSocket) {
+        while (!serverSocket.isClosed()) {
             try {
-                Socket from = mServerSocket.accept();
+                Socket from = serverSocket.accept();
                 if (mRefuseConnections) {
                     from.close();
                     continue;
