Show second runs of jobs that are sent again, and of a sidecar that is not heard

The fleet of the soak can put a proxy between each sidecar and each entry, which rewrites the addresses that entries tell.

--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
@@ -27,6 +27,10 @@
     private static final int STORE_HOST = 1;
     private static final int FIRST_ENTRY_HOST = 2;
     private static final int FIRST_SIDECAR_HOST = 100;
+
+    /** The third octet of the proxies between the first sidecar and the entries. */
+    private static final int FIRST_PEER_PROXY_SUBNET = 2;
+
     private static final long RESEND_MILLIS = 1_300;
     private static final double DEFAULT_GRACE_SECONDS = 1;
     private static final double[] SPEEDS = {0.6, 1.0, 1.6};
@@ -96,19 +100,24 @@
         return host(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
     }
 
-    /** Returns the seed that names the proxy to an entry. */
-    public String proxySeed(int entry) {
-        return proxyHost(FIRST_ENTRY_HOST + entry) + ":" + ANNOUNCEMENT_PORT;
-    }
-
     /** Returns where an entry listens for sidecars and other entries. */
     public String peerAddress(int entry) {
         return host(FIRST_ENTRY_HOST + entry) + ":" + PEER_PORT;
     }
 
-    /** Returns where a proxy to the peer address of an entry may listen. */
-    public String peerProxyAddress(int entry) {
-        return proxyHost(FIRST_ENTRY_HOST + entry) + ":" + PEER_PORT;
+    /**
+     * Returns where a proxy between a sidecar and the peer address of an entry may listen; as long
+     * as that address.
+     *
+     * @param sidecar the number of the sidecar, at most 7
+     */
+    public String peerProxyAddress(int sidecar, int entry) {
+        return peerProxyHost(sidecar, entry) + ":" + PEER_PORT;
+    }
+
+    /** Returns the seed that names the proxy between a sidecar and an entry. */
+    public String proxySeed(int sidecar, int entry) {
+        return peerProxyHost(sidecar, entry) + ":" + ANNOUNCEMENT_PORT;
     }
 
     /**
@@ -254,4 +263,9 @@
     private String proxyHost(int number) {
         return "127." + mNetwork + ".1." + number;
     }
+
+    private String peerProxyHost(int sidecar, int entry) {
+        int subnet = FIRST_PEER_PROXY_SUBNET + sidecar;
+        return "127." + mNetwork + "." + subnet + "." + (FIRST_ENTRY_HOST + entry);
+    }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
@@ -119,6 +119,11 @@
         return mProcess.isAlive();
     }
 
+    /** Returns the id of the running process. */
+    long pid() {
+        return mProcess.pid();
+    }
+
     /** Returns the exit code; must only be called after the process has exited. */
     int exitCode() {
         return mProcess.exitValue();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
@@ -22,6 +22,7 @@
 
     private final InetSocketAddress mListenAddress;
     private final InetSocketAddress mForwardAddress;
+    private final AddressRewriter mResponseRewriter;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private volatile boolean mStallRequests;
     private volatile boolean mStallResponses;
@@ -36,6 +37,16 @@
      * @param forward the server that it connects to, as host:port
      */
     FaultProxy(String listen, String forward) {
+        this(listen, forward, new AddressRewriter());
+    }
+
+    /**
+     * Creates a proxy that is not running.
+     *
+     * @param responseRewriter replaces addresses in the responses
+     */
+    FaultProxy(String listen, String forward, AddressRewriter responseRewriter) {
+        mResponseRewriter = responseRewriter;
         mListenAddress = Addresses.parse(listen);
         mForwardAddress = Addresses.parse(forward);
     }
@@ -137,6 +148,9 @@
                 if (mDelayMillis > 0) {
                     ProcessFleet.sleep(mDelayMillis);
                 }
+                if (!requests) {
+                    mResponseRewriter.rewrite(buffer, read);
+                }
                 out.write(buffer, 0, read);
                 out.flush();
             }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/RunMargins.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/RunMargins.java
@@ -31,10 +31,16 @@
         }
     }
 
+    private final long mNow;
     private final List<Margin> mMargins = new ArrayList<>();
 
-    /** Reads the runs of all workers. */
-    RunMargins(List<WorkerStandIn> workers) {
+    /**
+     * Reads the runs of all workers.
+     *
+     * @param now the end of the runs that are active, in milliseconds since the epoch
+     */
+    RunMargins(List<WorkerStandIn> workers, long now) {
+        mNow = now;
         Map<String, List<RunInterval>> intervalsByTask =
                 workers.stream()
                         .flatMap(worker -> worker.intervals().stream())
@@ -46,7 +52,8 @@
     private void addMargins(List<RunInterval> intervals) {
         RunInterval latest = intervals.getFirst();
         for (RunInterval next : intervals.subList(1, intervals.size())) {
-            mMargins.add(new Margin(latest, next, next.startedAt() - latest.endedAt()));
+            long latestEnd = Math.min(latest.endedAt(), mNow);
+            mMargins.add(new Margin(latest, next, next.startedAt() - latestEnd));
             latest = next.endedAt() > latest.endedAt() ? next : latest;
         }
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakFleet.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/SoakFleet.java
@@ -35,6 +35,11 @@
     final List<WorkerStandIn> mWorkers = new ArrayList<>();
     final List<FaultProxy> mWorkerProxies = new ArrayList<>();
 
+    /**
+     * By sidecar and entry, the proxy that the sidecar connects to; empty if it connects directly.
+     */
+    final List<List<FaultProxy>> mPeerProxies = new ArrayList<>();
+
     /** The folder of the settings files and logs of the processes. */
     final Path mFolder;
 
@@ -49,12 +54,22 @@
     final List<String> mUnexpectedExits = new CopyOnWriteArrayList<>();
 
     /**
-     * Creates a fleet that is not running.
+     * Creates a fleet that is not running, whose sidecars connect directly to the entries.
      *
      * @param network the second octet of the loopback addresses, distinct for fleets that run at
      *     the same time
      */
     SoakFleet(int network) {
+        this(network, false);
+    }
+
+    /**
+     * Creates a fleet that is not running.
+     *
+     * @param network as above
+     * @param peerProxies whether each sidecar connects to each entry through a proxy
+     */
+    SoakFleet(int network, boolean peerProxies) {
         mFixture = new PlatformFixture(network);
         mSeeds = List.of(mFixture.seed(0), mFixture.seed(1));
         mStore = new KvStandIn(mFixture.storeAddress(), mClock);
@@ -66,21 +81,37 @@
                             mFolder, "entry", "entry-" + entry, settings(entry, mSeeds)));
         }
         for (int worker = 0; worker < WORKERS; worker++) {
-            addWorker(worker);
+            addWorker(worker, peerProxies ? addPeerProxies(worker) : mSeeds);
+        }
+    }
+
+    /** Adds the proxies between a sidecar and all entries, and returns the seeds that name them. */
+    private List<String> addPeerProxies(int sidecar) {
+        AddressRewriter rewriter = new AddressRewriter();
+        List<FaultProxy> proxies = new ArrayList<>();
+        List<String> seeds = new ArrayList<>();
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            String entryAddress = mFixture.peerAddress(entry);
+            String proxyAddress = mFixture.peerProxyAddress(sidecar, entry);
+            rewriter.add(entryAddress, proxyAddress);
+            proxies.add(new FaultProxy(proxyAddress, entryAddress, rewriter));
+            seeds.add(mFixture.proxySeed(sidecar, entry));
         }
+        mPeerProxies.add(proxies);
+        return seeds;
     }
 
     private PlatformSettings settings(int entry, List<String> seeds) {
         return mFixture.entry(entry, seeds, mFixture.storeProxyAddress());
     }
 
-    private void addWorker(int worker) {
+    private void addWorker(int worker, List<String> seeds) {
         mSidecars.add(
                 ChildProcess.platformRole(
                         mFolder,
                         "sidecar",
                         "sidecar-" + worker,
-                        mFixture.sidecar(worker, mSeeds, mFixture.storeProxyAddress())));
+                        mFixture.sidecar(worker, seeds, mFixture.storeProxyAddress())));
         String proxyAddress = mFixture.workerProxyAddress(worker);
         mWorkerProxies.add(new FaultProxy(proxyAddress, mFixture.workerAddress(worker)));
         mWorkers.add(new WorkerStandIn(mFixture.worker(worker, proxyAddress), mClock));
@@ -92,6 +123,7 @@
         mStoreProxy.start();
         publish();
         mWorkerProxies.forEach(FaultProxy::start);
+        mPeerProxies.forEach(proxies -> proxies.forEach(FaultProxy::start));
         mWorkers.forEach(WorkerStandIn::start);
         mEntries.forEach(ChildProcess::start);
         mSidecars.forEach(ChildProcess::start);
@@ -127,6 +159,7 @@
         mSidecars.forEach(ChildProcess::kill);
         mWorkers.forEach(WorkerStandIn::stop);
         mWorkerProxies.forEach(FaultProxy::stop);
+        mPeerProxies.forEach(proxies -> proxies.forEach(FaultProxy::stop));
         mStoreProxy.stop();
         mStore.stop();
         mHttpClient.stop();
