--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/FaultProxy.java
@@ -22,12 +22,13 @@
 
     private final InetSocketAddress mListenAddress;
     private final InetSocketAddress mForwardAddress;
+    private final AddressRewriter mResponseRewriter;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private volatile boolean mStallRequests;
     private volatile boolean mStallResponses;
     private volatile boolean mRefuseConnections;
     private volatile long mDelayMillis;
-    private ServerSocket mServerSocket;
+    private volatile ServerSocket mServerSocket;
 
     /**
      * Creates a proxy that is not running.
@@ -36,19 +37,44 @@
      * @param forward the server that it connects to, as host:port
      */
     FaultProxy(String listen, String forward) {
+        this(listen, forward, new AddressRewriter());
+    }
+
+    /**
+     * Creates a proxy that is not running.
+     *
+     * @param responseRewriter replaces addresses in the responses
+     */
+    FaultProxy(String listen, String forward, AddressRewriter responseRewriter) {
+        mResponseRewriter = responseRewriter;
         mListenAddress = Addresses.parse(listen);
         mForwardAddress = Addresses.parse(forward);
     }
 
     void start() {
+        listen();
+    }
+
+    /** Accepts connections, at first or again after {@link #stopListening}. */
+    void listen() {
         try {
-            mServerSocket = new ServerSocket();
-            mServerSocket.setReuseAddress(true);
-            mServerSocket.bind(mListenAddress);
+            ServerSocket serverSocket = new ServerSocket();
+            serverSocket.setReuseAddress(true);
+            serverSocket.bind(mListenAddress);
+            mServerSocket = serverSocket;
+            Thread.ofVirtual().start(() -> accept(serverSocket));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        Thread.ofVirtual().start(this::accept);
+    }
+
+    /**
+     * Closes all connections and the listening socket: until {@link #listen} the kernel refuses new
+     * connections, as if no process used the address.
+     */
+    void stopListening() {
+        close(mServerSocket);
+        closeAll();
     }
 
     void stop() {
@@ -82,10 +108,10 @@
         closeAll();
     }
 
-    private void accept() {
-        while (!mServerSocket.isClosed()) {
+    private void accept(ServerSocket serverSocket) {
+        while (!serverSocket.isClosed()) {
             try {
-                Socket from = mServerSocket.accept();
+                Socket from = serverSocket.accept();
                 if (mRefuseConnections) {
                     from.close();
                     continue;
@@ -122,6 +148,9 @@
                 if (mDelayMillis > 0) {
                     ProcessFleet.sleep(mDelayMillis);
                 }
+                if (!requests) {
+                    mResponseRewriter.rewrite(buffer, read);
+                }
                 out.write(buffer, 0, read);
                 out.flush();
             }
