Start no task after a pause before callers that left are known

What callers saw: two runs of one task at a time (simulation).

Cause: an entry that has stood still handles the events that piled up, and places tasks after the first of them: also tasks of jobs whose deadline has passed, as only the tick ends those, and of jobs whose callers have left meanwhile, which it has not read yet. Such callers have sent their jobs to another entry. What is read after a pause was abandoned already, what was held before it was not. Class: acting on a state from before a pause.

Change: tasks of expired jobs are not placed, whether or not a tick has come; after a pause of the resend delay or longer the jobs from before it are held back for the 250 ms in which an entry reads what has arrived.

abandonsRequestsReadRightAfterAPauseLongerThanTheResendDelay counted answers at its end. Its first job, 2.6 s old and placed nowhere, is refused now where it was placed too late to be of use; the test says so and then counts as before.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -210,8 +210,9 @@
                 mAnswers.get(1) instanceof PoolAnswer.Abandoned,
                 "it may have waited in the backlog");
         advance(2 * PoolTiming.HEARTBEAT_INTERVAL_MILLIS);
+        assertTrue(mAnswers.get(2) instanceof PoolAnswer.Refused, "the first job is too late");
         submit("cc", 1, 4);
-        assertEquals(mAnswers.size(), 2, mAnswers.toString());
+        assertEquals(mAnswers.size(), 3, mAnswers.toString());
     }
 
     @Test
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ActiveJob.java
@@ -43,7 +43,7 @@
     private boolean mEverPlaced;
     boolean mEnded;
 
-    /** Whether the job has waited for the end of runs of an earlier request. */
+    /** Whether the job has waited as it may have had runs of an earlier request, or no caller. */
     boolean mEverHeldBack;
 
     /** When the job ended, in milliseconds since the epoch; 0 before that. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -37,7 +37,7 @@
         mResendMillis = resendMillis;
         mAnswers = new JobAnswers(state, placement);
         mForecast = new QueueForecast(placement);
-        mDispatcher = new TaskDispatcher(state, placement, mForecast);
+        mDispatcher = new TaskDispatcher(state, placement, mForecast, resendMillis);
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTimeline.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/ProcessTimeline.java
@@ -58,6 +58,16 @@
         return mNow - mResumedAt < BACKLOG_MILLIS ? mPausedMillis : 0;
     }
 
+    /**
+     * Returns whether a caller may have left during a pause without this being known yet.
+     *
+     * @param arrivedAt when its request arrived, in milliseconds since the epoch
+     * @param resendMillis after how long callers without an answer leave, in milliseconds
+     */
+    boolean callerMayHaveLeft(long arrivedAt, long resendMillis) {
+        return maxRequestAgeMillis() >= resendMillis && arrivedAt < mResumedAt;
+    }
+
     /** Returns whether sidecars may still be missing, so that the total capacity is unknown. */
     boolean discovering() {
         return mFirstServingAt == 0
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -58,16 +58,25 @@
     private final PoolEntryState mState;
     private final Placement mPlacement;
     private final QueueForecast mForecast;
+    private final long mResendMillis;
 
-    TaskDispatcher(PoolEntryState state, Placement placement, QueueForecast forecast) {
+    /**
+     * Creates a dispatcher.
+     *
+     * @param resendMillis how long a caller without an answer waits before it sends its job again,
+     *     in milliseconds
+     */
+    TaskDispatcher(
+            PoolEntryState state, Placement placement, QueueForecast forecast, long resendMillis) {
         mState = state;
         mPlacement = placement;
         mForecast = forecast;
+        mResendMillis = resendMillis;
     }
 
     /**
-     * Places tasks in the order of {@link WaitingJob#compareTo}. Holds back jobs that may still
-     * have runs of an earlier request.
+     * Places tasks in the order of {@link WaitingJob#compareTo}. Leaves out expired jobs, and holds
+     * back those that may still have runs of an earlier request or whose callers may have left.
      *
      * @return the jobs that still have tasks to place, in the order of dispatch
      */
@@ -88,6 +97,7 @@
         }
         Set<String> unsettled = unsettledJobs();
         return startable.stream()
+                .filter(job -> job.mJob.deadline() > mState.mNow)
                 .filter(job -> !heldBack(job, unsettled))
                 .map(job -> new WaitingJob(job, mPlacement.late(job, mState.mNow)))
                 .sorted()
@@ -103,7 +113,10 @@
 
     private boolean heldBack(ActiveJob job, Set<String> unsettled) {
         String id = job.mJob.id();
-        boolean heldBack = unsettled.contains(id) || mState.mStoppingRunCounts.containsKey(id);
+        boolean heldBack =
+                unsettled.contains(id)
+                        || mState.mStoppingRunCounts.containsKey(id)
+                        || mState.mTimeline.callerMayHaveLeft(job.mArrivedAt, mResendMillis);
         if (heldBack && !job.mEverHeldBack) {
             job.mEverHeldBack = true;
             mState.count(PoolEntryCounter.JOBS_HELD_BACK);
