--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/WorkerStandIn.java
@@ -90,6 +90,9 @@
                     Thread.ofPlatform().daemon().name("worker-timer").factory());
     private long mAnnouncementCount;
 
+    /** Before this time it does not announce itself, in milliseconds since the epoch. */
+    private long mAnnounceAt;
+
     /** Creates a worker that is not running. */
     public WorkerStandIn(WorkerConfig config, UnixClock clock) {
         mConfig = config;
@@ -275,8 +278,21 @@
         };
     }
 
+    /**
+     * The same as {@link #restart()}, but the new incarnation announces itself late.
+     *
+     * @param announceAt before which it does not, in milliseconds since the epoch
+     */
+    public synchronized void restart(long announceAt) {
+        restart();
+        mAnnounceAt = announceAt;
+    }
+
     private synchronized void announce() {
         long now = mClock.now();
+        if (now < mAnnounceAt) {
+            return;
+        }
         mAnnouncementCount++;
         Map<String, Object> body =
                 Map.of(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/DoubledRunTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/DoubledRunTest.java
@@ -19,6 +19,9 @@
     /** For how long a worker refuses connections. */
     private static final long REFUSAL_MILLIS = 300;
 
+    /** For how long the new incarnation of a worker does not announce itself. */
+    private static final long UNANNOUNCED_MILLIS = 2_000;
+
     /** For how long the messages of a sidecar are held back. */
     private static final long HOLD_BACK_MILLIS = 3_500;
 
@@ -61,6 +64,15 @@
         check("a worker dies");
     }
 
+    /** A new incarnation under the old name takes orders before it announces itself. */
+    @Test
+    public void workerThatStartsAgainUnannounced() {
+        mFleet.mWorkers.getFirst().restart(mFleet.mClock.now() + UNANNOUNCED_MILLIS);
+        submit();
+        ProcessFleet.sleep(UNANNOUNCED_MILLIS);
+        checkNoneConcurrent("a worker starts again and announces itself late");
+    }
+
     /**
      * The entry does not hear a sidecar any more, and starts its tasks elsewhere. The sidecar hears
      * the entry, as a proxy accepts each connection, and must not go on with its runs.
