Compute logarithms alike on all kinds of processors

A decision that differs by machine cannot be replayed either.

The speed model and the simulation use StrictMath. Measured: DeadlyTaskTest, PoolLoadTest and PoolSimulationTest pass (14 tests).

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedJobKind.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedJobKind.java
@@ -95,7 +95,7 @@
 
     /** Returns a log-normal value with the given mean and relative spread. */
     private static double spread(Random random, double mean, double relativeSpread) {
-        double sigma = Math.sqrt(Math.log1p(relativeSpread * relativeSpread));
-        return mean * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
+        double sigma = Math.sqrt(StrictMath.log1p(relativeSpread * relativeSpread));
+        return mean * StrictMath.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
     }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedLoad.java
@@ -116,7 +116,7 @@
      */
     private void scheduleNext(SimulatedJobKind kind, long end, double previous) {
         double meanGap = 1_000 / (kind.jobsPerSecond() * mRateFactor);
-        double at = previous - meanGap * Math.log(1 - mSimulation.mRandom.nextDouble());
+        double at = previous - meanGap * StrictMath.log(1 - mSimulation.mRandom.nextDouble());
         if (at < end) {
             mSimulation.at(
                     (long) at,
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/target/SpeedModel.java
@@ -37,12 +37,14 @@
             TargetSpeed targetSpeed, String kind, long declaredMillis, double runMillis) {
         double logBias = mLogBiasByKind.getOrDefault(kind, 0.0);
         double expectedLog =
-                Math.log(Math.max(1, declaredMillis)) + logBias - Math.log(targetSpeed.mSpeed);
-        double residual = Math.log(Math.max(1.0, runMillis)) - expectedLog;
+                StrictMath.log(Math.max(1, declaredMillis))
+                        + logBias
+                        - StrictMath.log(targetSpeed.mSpeed);
+        double residual = StrictMath.log(Math.max(1.0, runMillis)) - expectedLog;
         residual = Math.clamp(residual, -MAX_LOG_RESIDUAL, MAX_LOG_RESIDUAL);
         targetSpeed.mObservationCount++;
         targetSpeed.recordResidual(residual);
-        double speed = targetSpeed.mSpeed * Math.exp(-learningRate(targetSpeed) * residual);
+        double speed = targetSpeed.mSpeed * StrictMath.exp(-learningRate(targetSpeed) * residual);
         targetSpeed.mSpeed = Math.clamp(speed, MIN_SPEED, MAX_SPEED);
         if (!TargetSpeed.outlier(residual)) {
             mLogBiasByKind.put(kind, logBias + BIAS_LEARNING_RATE * residual);
@@ -61,6 +63,6 @@
      * {@code exp(bias(kind))}.
      */
     public double expectedMillis(String kind, long declaredMillis) {
-        return declaredMillis * Math.exp(mLogBiasByKind.getOrDefault(kind, 0.0));
+        return declaredMillis * StrictMath.exp(mLogBiasByKind.getOrDefault(kind, 0.0));
     }
 }
