--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -56,6 +56,9 @@
     /** The share of orders that arrive seconds late. */
     double mLateOrderProbability;
 
+    /** How much longer than the shortest the longest task takes at speed 1, in milliseconds. */
+    int mTaskRangeMillis = 800;
+
     int mSucceededJobCount;
     int mFailedJobCount;
 
@@ -173,7 +176,7 @@
         after(mRandom.nextInt(2_000), () -> injectFault(end));
     }
 
-    private void partition(SimulatedLink link, long durationMillis) {
+    void partition(SimulatedLink link, long durationMillis) {
         link.mPartitioned = true;
         after(durationMillis, link::restore);
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedCaller.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedCaller.java
@@ -58,7 +58,7 @@
                 new PoolJob(
                         mId,
                         "checks",
-                        (50 + mSimulation.mRandom.nextInt(800)) + " 4",
+                        (50 + mSimulation.mRandom.nextInt(mSimulation.mTaskRangeMillis)) + " 4",
                         List.of(step),
                         mSimulation.mNow + PoolSimulation.CALLER_TIMEOUT_MILLIS);
         entry.runIfAlive(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -30,6 +30,9 @@
     /** Until when the worker refuses connections while its runs go on, in the same unit. */
     long mRefusesUntil;
 
+    /** Until when stop orders do not reach the worker, in the same unit. */
+    long mStopsLostUntil;
+
     /** The number of the worker's latest announcement. */
     long mAnnouncementSequence;
 
@@ -303,6 +306,9 @@
                         onStopAnswered(sidecarIncarnation, stop, false);
                         return;
                     }
+                    if (mSimulation.mNow < mStopsLostUntil) {
+                        return;
+                    }
                     mSimulation.log("worker " + mIndex + " told to stop " + stop.run());
                     worker.stop(
                             stop.run().task(),
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -17,6 +17,7 @@
 abstract class PoolSidecarCoreTestBase {
     static final NodeId OWNER = new NodeId("owner", 1);
     static final NodeId OTHER = new NodeId("other", 1);
+    static final long START_MILLIS = 1_000_000;
     static final long LEASE_MILLIS = 1_000;
     static final String QUEUE = "queue";
     static final String JOB = "00000000000000aa";
@@ -29,12 +30,17 @@
     long mNow;
     private long mLastPollNumber;
     private TargetIncarnation mPolledTarget;
+
+    /** The end of the latest lease that a poll requested, on the target's clock. */
+    long mLatestLeaseEnd;
+
     final List<Run> mStops = new ArrayList<>();
     final List<PoolSidecarAction.SendToEntry> mSent = new ArrayList<>();
 
     @BeforeMethod
     public void createServingSidecar() {
-        mNow = 1_000_000;
+        mNow = START_MILLIS;
+        mLatestLeaseEnd = 0;
         mStops.clear();
         mCore = new PoolSidecarCore(new NodeId("sidecar", 1), "here", 7, LEASE_MILLIS);
         handle(new PoolSidecarEvent.EntryConnected(OWNER));
@@ -70,14 +76,22 @@
 
     /** The same as {@link #answerPoll}, but from another incarnation of the target. */
     void answerPollAs(TargetIncarnation incarnation, Run... running) {
+        answerPollAt(0, incarnation, running);
+    }
+
+    /** The same with a reading of the incarnation's clock. */
+    void answerPollAt(long clock, TargetIncarnation incarnation, Run... running) {
         List<RunSnapshot.Running> listed = new ArrayList<>();
         for (Run run : running) {
             listed.add(new RunSnapshot.Running(run.task(), run.run()));
         }
-        RunSnapshot snapshot = new RunSnapshot(incarnation.startedAt(), 0, listed, List.of());
-        handle(
-                new PoolSidecarEvent.PollAnswered(
-                        mPolledTarget, mLastPollNumber, new PollReply.Answered(snapshot)));
+        RunSnapshot snapshot = new RunSnapshot(incarnation.startedAt(), clock, listed, List.of());
+        reply(new PollReply.Answered(snapshot));
+    }
+
+    /** Answers the latest poll, or lets it fail. */
+    void reply(PollReply reply) {
+        handle(new PoolSidecarEvent.PollAnswered(mPolledTarget, mLastPollNumber, reply));
     }
 
     void handle(PoolSidecarEvent event) {
@@ -87,6 +101,7 @@
                 case PoolSidecarAction.Poll poll -> {
                     mLastPollNumber = poll.number();
                     mPolledTarget = poll.target();
+                    mLatestLeaseEnd = Math.max(mLatestLeaseEnd, poll.leaseUntil().orElse(0L));
                 }
                 case PoolSidecarAction.StopRun stop -> mStops.add(stop.run());
                 case PoolSidecarAction.SendToEntry send -> mSent.add(send);
