Show tasks that start between the two parts of a pause (known red)

ProcessTimeline.advanceTo takes the longest of pauses that follow each other at once, not their sum. An entry that handles a single message between two pauses of 1.2 s places tasks of callers that have left.

Red output (-Dknown.red=none): PausedEntryTest. startsNoTaskBeforeItCanKnowWhichCallersHaveLeftDuringTwoPauses: expected [1] but found [2]

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PausedEntryTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PausedEntryTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.testng.annotations.Test;
@@ -53,4 +54,18 @@
         submit("aa", 1, 4);
         assertTrue(mOrders.size() == 1);
     }
+
+    /** The entry stands still twice and handles a single message between. */
+    @Test(groups = "known-red")
+    public void startsNoTaskBeforeItCanKnowWhichCallersHaveLeftDuringTwoPauses() {
+        submit("aa", 1, 4);
+        Order order = mOrders.get(0);
+        mNow += RESEND_MILLIS - 100;
+        reportRoom(TWO, 16, List.of());
+        mNow += RESEND_MILLIS - 100;
+        report(order, ReportKind.ENDED);
+        mCore.handle(new PoolEntryEvent.CallerLost(mLastToken), mNow);
+        collectActions();
+        assertEquals(mOrders.size(), 1);
+    }
 }
