Show that a confined queue may have no target at all (known red)

Quarantine.selectMembers sets aside no target of a service with fewer than four. If another service has more, mMembers is not empty, and admitsQueue admits the confined queue of the small service nowhere, until the confinement ends.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
@@ -68,4 +68,14 @@
         mQuarantine.onTick(NOW + 10_000);
         assertTrue(SIDECARS.stream().allMatch(name -> mQuarantine.admits("x", "bad", name)));
     }
+
+    /** A service with few targets keeps them while a service with many is confined to some. */
+    @Test(groups = "known-red")
+    public void admitsTheConfinedQueueOfAServiceWithFewTargetsSomewhere() {
+        List<String> few = List.of("e", "f", "g");
+        mQuarantine.selectMembers(List.of(SIDECARS, few));
+        mQuarantine.recordCrash("task", "bad", "e", NOW);
+        mQuarantine.recordCrash("task", "bad", "f", NOW);
+        assertTrue(few.stream().anyMatch(sidecar -> mQuarantine.admits("x", "bad", sidecar)));
+    }
 }
