Show that a job counts as settled while its run is being stopped (known red)

A sidecar tells the other entries that a job is settled as soon as its lost owner sends a message again (EntryTable.lost), also if the owner then stops the run. They hear of it again only 300 ms after that stop (STOP_TIMEOUT_MILLIS), and may start the tasks meanwhile.

Red output (-Dknown.red=none): UnsettledRunTest. goesOnTellingOtherEntriesWhileAReturnedEntryStopsTheRun: lists don't have the same size expected [1] but found [0]

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/UnsettledRunTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/UnsettledRunTest.java
@@ -55,4 +55,16 @@
         ping(OWNER);
         assertEquals(lastRoom(OWNER).unsettledJobs(), List.of());
     }
+
+    /** Other entries must not start the tasks between the return of the entry and the stop. */
+    @Test(groups = "known-red")
+    public void goesOnTellingOtherEntriesWhileAReturnedEntryStopsTheRun() {
+        start(RUN);
+        handle(new PoolSidecarEvent.EntryLost(OWNER));
+        assertEquals(lastRoom(OTHER).unsettledJobs(), List.of(JOB));
+        handle(new PoolSidecarEvent.EntryConnected(OWNER));
+        send(OWNER, new PoolMessage.Stop(List.of(RUN)));
+        handle(new PoolSidecarEvent.StopAnswered(RUN, false));
+        assertEquals(lastRoom(OTHER).unsettledJobs(), List.of(JOB));
+    }
 }
