Confine no queue to a service that has too few targets

Found by the review: a service with fewer than four targets sets none aside, and if another service has more, its confined queue was admitted nowhere until 4 s after the last crash. Such services stay undivided.

QuarantineTest.admitsTheConfinedQueueOfAServiceWithFewTargetsSomewhere failed before ("expected [true] but found [false]") and passes.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/quarantine/QuarantineTest.java
@@ -70,7 +70,7 @@
     }
 
     /** A service with few targets keeps them while a service with many is confined to some. */
-    @Test(groups = "known-red")
+    @Test
     public void admitsTheConfinedQueueOfAServiceWithFewTargetsSomewhere() {
         List<String> few = List.of("e", "f", "g");
         mQuarantine.selectMembers(List.of(SIDECARS, few));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/quarantine/Quarantine.java
@@ -42,6 +42,9 @@
     /** The names of the sidecars whose targets are for the confined queue. */
     private Set<String> mMembers = Set.of();
 
+    /** The names of the sidecars of services with too few targets to set any aside. */
+    private Set<String> mUndivided = Set.of();
+
     /**
      * Records that a target may have crashed under a task, and confines the queue of the task if
      * another one has before.
@@ -105,6 +108,7 @@
      */
     public void selectMembers(Collection<List<String>> sidecars) {
         Set<String> members = new HashSet<>();
+        Set<String> undivided = new HashSet<>();
         for (List<String> service : sidecars) {
             List<String> ranked = new ArrayList<>(service);
             ranked.sort(
@@ -112,8 +116,12 @@
                             .thenComparing(Comparator.naturalOrder()));
             int count = service.size() / TARGETS_PER_MEMBER;
             members.addAll(ranked.subList(0, count));
+            if (count == 0) {
+                undivided.addAll(service);
+            }
         }
         mMembers = members;
+        mUndivided = undivided;
     }
 
     /** Returns whether a task may run on the target of a sidecar. */
@@ -124,6 +132,7 @@
     private boolean admitsQueue(String queue, String sidecar) {
         return mConfinedQueue.isEmpty()
                 || mMembers.isEmpty()
+                || mUndivided.contains(sidecar)
                 || confined(queue) == mMembers.contains(sidecar);
     }
 
