Hold runs to what their lease, their stop and their entry show

Found by the review and the reproduction, in the same classes, so one commit; each with a test that failed before:

- A target that starts again grants the longest lease, 1 s, on a request by the earlier clock; 0.7 s were reckoned (RestartedTargetLeaseTest, ended after 780 ms).
- A job counted as settled as soon as its lost entry had sent a message, while the entry could still be about to stop its run, and for 300 ms after that (UnsettledRunTest.goesOnTellingOtherEntriesWhileAReturnedEntryStopsTheRun).
It stays unsettled for 600 ms.
- Runs that their entry, back after a loss, does not name went on (UnknownRunTest; in the play of held-back messages the first run went on for 3.6 s after the reconnection).
They are stopped.
- A poll that fails at once counted as 130 ms of silence, so that a jump of the clock ended runs under a valid lease (FailedPollTest, expected [15.0] but found [16.0]).
Its own time counts.

News that a job is settled again waits for the interval of reports, as the review saw up to 1,455 messages for 30 entries whose connections are reset. In the simulation a second freeze no longer shortens the first.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -156,8 +156,8 @@
         switch (kind) {
             case 0 -> entry.kill();
             case 1 -> sidecar.kill();
-            case 2 -> entry.mFrozenUntil = mNow + durationMillis;
-            case 3 -> sidecar.mFrozenUntil = mNow + durationMillis;
+            case 2 -> entry.freeze(durationMillis);
+            case 3 -> sidecar.freeze(durationMillis);
             case 4 -> partition(mLinksToSidecar[entry.mIndex][sidecar.mIndex], durationMillis);
             case 5 -> partition(mLinksToEntry[entry.mIndex][sidecar.mIndex], durationMillis);
             case 6 -> {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Freezes the process, for longer if it is frozen already until later. */
+    void freeze(long millis) {
+        mFrozenUntil = Math.max(mFrozenUntil, mSimulation.mNow + millis);
+    }
+
     /** Starts the next incarnation. */
     void start() {
         mIncarnation++;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/ChildProcess.java
@@ -91,8 +91,10 @@
 
     /** Sends SIGKILL and waits for the process to exit. */
     void kill() {
-        mProcess.destroyForcibly();
-        await();
+        if (mProcess != null) {
+            mProcess.destroyForcibly();
+            await();
+        }
     }
 
     /** Sends SIGTERM and waits for the process to drain and exit. */
@@ -136,7 +138,9 @@
 
     /** Sends SIGCONT, which resumes a frozen process. */
     void resume() {
-        signal("CONT");
+        if (mProcess != null) {
+            signal("CONT");
+        }
     }
 
     /** Returns what the process has written to its log so far. */
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/process/DoubledRunTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/process/DoubledRunTest.java
@@ -1,5 +1,7 @@
 package org.jackdawsaddle.process;
 
+import static org.testng.Assert.assertFalse;
+
 import org.jackdawsaddle.standin.platform.PlatformFixture;
 import org.testng.annotations.Test;
 
@@ -38,6 +40,7 @@
         ProcessFleet.sleep(REFUSAL_MILLIS);
         mFleet.mWorkerProxies.get(worker).listen();
         checkNoneConcurrent("a worker refuses connections and comes back");
+        assertFalse(mFleet.mWorkers.get(worker).runningTasks().isEmpty(), "its runs go on");
     }
 
     /** As above, but the worker dies afterwards and a new incarnation takes its place. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -161,7 +161,8 @@
     record Stop(List<Run> runs) implements PoolMessage {}
 
     /**
-     * Lists all runs that the entry believes to be at the sidecar, which reports the state of each.
+     * Lists all runs that the entry believes to be at the sidecar, which reports the state of each
+     * and stops the other runs of the entry.
      */
     record Resume(List<Run> runs) implements PoolMessage {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryTable.java
@@ -36,9 +36,9 @@
         mViews.forEach(action);
     }
 
-    /** Returns whether an entry is unknown, or was lost and has sent no message since. */
-    boolean lost(NodeId entry) {
-        return find(entry).map(EntryView::lost).orElse(true);
+    /** Returns whether runs of an entry may be active without anyone waiting for them. */
+    boolean unsettled(NodeId entry, long now) {
+        return find(entry).map(view -> view.unsettled(now)).orElse(true);
     }
 
     /** Returns whether the runs of an entry must end: it was lost for too long. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -23,6 +23,9 @@
      */
     private long mLostAt;
 
+    /** Until when the entry may still stop runs from before it was lost. */
+    private long mReturningUntil;
+
     /** Whether the entry has asked to learn changes of the free capacity at once. */
     private boolean mWatching;
 
@@ -38,6 +41,9 @@
     private boolean mReportedServing;
     private List<String> mReportedUnsettledJobs = List.of();
 
+    /** Whether a job that was last sent as unsettled no longer is. */
+    private boolean mJobsRemoved;
+
     /** The reports to send on this connection or, if it is closed, on the next one. */
     private final List<TaskReport> mPendingReports = new ArrayList<>();
 
@@ -63,8 +69,20 @@
         return mLostAt > 0;
     }
 
+    /**
+     * Returns whether the runs of the entry may be stopped or active without anyone waiting for
+     * them: it is lost, or was until lately and may not have told yet which runs must stop.
+     */
+    boolean unsettled(long now) {
+        return lost() || now < mReturningUntil;
+    }
+
     /** Records a message, which the entry only sends once it has received one. */
     void onHeard(long now) {
+        if (lost()) {
+            mReturningUntil =
+                    now + PoolTiming.RECONNECT_TIMEOUT_MILLIS + PoolTiming.STOP_TIMEOUT_MILLIS;
+        }
         mLastHeardAt = now;
         mLostAt = 0;
     }
@@ -131,9 +149,10 @@
             return reconnectTimeoutAt();
         }
         long deadline = Math.min(connectionTimeoutAt(ownsRuns) + 1, roomDueAt(free, ownsRuns));
-        return lost() && !reconnectTimedOut(now)
-                ? Math.min(deadline, reconnectTimeoutAt())
-                : deadline;
+        if (lost() && !reconnectTimedOut(now)) {
+            deadline = Math.min(deadline, reconnectTimeoutAt());
+        }
+        return now < mReturningUntil ? Math.min(deadline, mReturningUntil) : deadline;
     }
 
     /**
@@ -157,19 +176,22 @@
         mReportedFree = room.free();
         mReportedServing = room.serving();
         mReportedUnsettledJobs = room.unsettledJobs();
+        mJobsRemoved = false;
         return updates;
     }
 
     private boolean roomDue(PoolMessage.Room room, boolean ownsRuns, long now) {
+        boolean jobsAdded = !mReportedUnsettledJobs.containsAll(room.unsettledJobs());
+        mJobsRemoved = !room.unsettledJobs().containsAll(mReportedUnsettledJobs);
         return !mPendingReports.isEmpty()
                 || room.serving() != mReportedServing
-                || !room.unsettledJobs().equals(mReportedUnsettledJobs)
+                || jobsAdded
                 || now >= roomDueAt(room.free(), ownsRuns);
     }
 
     /** Returns when the free capacity is due to be reported again. */
     private long roomDueAt(Demand free, boolean ownsRuns) {
-        if (mWatching && !free.equals(mReportedFree)) {
+        if (mJobsRemoved || mWatching && !free.equals(mReportedFree)) {
             return mRoomSentAt + PoolTiming.ROOM_INTERVAL_MILLIS;
         }
         return mRoomSentAt
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -45,6 +45,9 @@
     /** Whether the target has confirmed the start, or a snapshot has listed the run. */
     private boolean mStarted;
 
+    /** Whether its entry is lost, which counts the run as ended after a while. */
+    boolean mOrphaned;
+
     /** Whether the run was reported as one that may have crashed its target. */
     boolean mSuspected;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -55,6 +55,11 @@
         return mRuns.keySet().stream().anyMatch(run -> run.task().equals(task));
     }
 
+    /** Returns whether any run is left whose entry is lost. */
+    boolean anyOrphaned() {
+        return mRuns.values().stream().anyMatch(held -> held.mOrphaned);
+    }
+
     /** Returns the entries that own the runs. */
     Set<NodeId> owners() {
         return mRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
@@ -69,10 +74,12 @@
                 .toList();
     }
 
-    /** Returns the runs that should have ended: their entry is lost, or their stop has expired. */
-    List<HeldRun> unsettled(Predicate<NodeId> lost, long now) {
+    /**
+     * Returns the runs that should have ended: by their entry's state, or as their stop expired.
+     */
+    List<HeldRun> unsettled(Predicate<NodeId> unsettledEntry, long now) {
         return mRuns.values().stream()
-                .filter(held -> now >= held.mStopExpiresAt || lost.test(held.mOwner))
+                .filter(held -> now >= held.mStopExpiresAt || unsettledEntry.test(held.mOwner))
                 .toList();
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PollSchedule.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PollSchedule.java
@@ -12,12 +12,12 @@
     /** The pause after a poll that was of no use. */
     static final long RETRY_MILLIS = 50;
 
-    /** How long a poll that gets no answer takes at least, with the pause after it. */
-    static final long MIN_UNANSWERED_MILLIS = WAIT_MILLIS + RETRY_MILLIS;
-
     /** The number of the latest poll; 0 before the first one. */
     private long mLatest;
 
+    /** When it was sent. */
+    private long mSentAt;
+
     private boolean mInFlight;
     private long mDueAt;
 
@@ -48,6 +48,7 @@
     /** Records that the next poll is sent now. */
     void onSent() {
         mInFlight = true;
+        mSentAt = mNow;
         mLatest++;
         mSentAckCursor = mAckCursor;
     }
@@ -66,6 +67,14 @@
         return true;
     }
 
+    /**
+     * Returns how long the latest poll took, in milliseconds; at most as long as a poll waits, as
+     * the clock may have jumped.
+     */
+    long elapsedMillis() {
+        return Math.min(mNow - mSentAt, WAIT_MILLIS);
+    }
+
     /** Delays the next poll, as the latest one was of no use. */
     void retryLater() {
         mDueAt = mNow + RETRY_MILLIS;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -10,6 +10,7 @@
 import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
+import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.RunSnapshot;
@@ -98,7 +99,8 @@
     /** Sends each entry the reports on its runs and the free capacity, as far as they are due. */
     private void sendUpdates() {
         Set<NodeId> owners = mRuns.held().owners();
-        List<HeldRun> unsettled = mRuns.held().unsettled(mEntries::lost, mNow);
+        List<HeldRun> unsettled =
+                mRuns.held().unsettled(entry -> mEntries.unsettled(entry, mNow), mNow);
         PoolMessage.Room room = new PoolMessage.Room(free(), serving(), mNow, 0, List.of());
         mEntries.forEach((entry, view) ->
                 view.takeUpdates(
@@ -261,10 +263,7 @@
         switch (message) {
             case PoolMessage.Start start -> onStart(entry, view, start);
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
-            case PoolMessage.Resume resume ->
-                    resume.runs()
-                            .forEach(
-                                    run -> report(entry, new TaskReport(run, mRuns.statusOf(run))));
+            case PoolMessage.Resume resume -> onResume(entry, resume.runs());
             case PoolMessage.Ping ping -> onPing(entry, view, ping);
             case PoolMessage.ConfigurationPush push -> onConfiguration(push);
             default ->
@@ -273,6 +272,12 @@
         }
     }
 
+    /** Reports the states of the runs that an entry knows of, and stops its other ones. */
+    private void onResume(NodeId entry, List<Run> runs) {
+        mRuns.stopRunsOfExcept(entry, runs);
+        runs.forEach(run -> report(entry, new TaskReport(run, mRuns.statusOf(run))));
+    }
+
     private void onPing(NodeId entry, EntryView view, PoolMessage.Ping ping) {
         view.onPing(ping, mNow);
         if (mConfigurationPush.isPresent()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -136,7 +136,7 @@
                         target,
                         task.run(),
                         task.payload(),
-                        mLiveness.requestLeaseByStart(),
+                        mLiveness.requestLeaseByStart(!mHeldRuns.anyOrphaned()),
                         mFencingToken));
     }
 
@@ -147,9 +147,14 @@
         }
     }
 
+    /**
+     * Stops the runs of lost entries. The lease is not renewed until they have ended, so that they
+     * end even if the target does not carry out the stops.
+     */
     void stopRunsOf(Predicate<NodeId> owners) {
         for (HeldRun held : mHeldRuns.values()) {
-            if (held.mState != HeldRun.State.STOPPING && owners.test(held.mOwner)) {
+            held.mOrphaned = held.mOrphaned || owners.test(held.mOwner);
+            if (held.mOrphaned && held.mState != HeldRun.State.STOPPING) {
                 mCounter.accept(PoolSidecarCounter.RUNS_ORPHANED);
                 RunLog.stopped(held.mStartTask.run(), "entry lost: " + held.mOwner);
                 stop(held);
@@ -157,6 +162,17 @@
         }
     }
 
+    /** Stops the runs of an entry that it does not know of any more: it counts them as ended. */
+    void stopRunsOfExcept(NodeId owner, List<Run> known) {
+        for (HeldRun held : mHeldRuns.values()) {
+            Run run = held.mStartTask.run();
+            if (held.mOwner.equals(owner) && !known.contains(run)) {
+                RunLog.stopped(run, "unknown to its entry: " + owner);
+                stop(held);
+            }
+        }
+    }
+
     private void stop(HeldRun held) {
         if (held.mState != HeldRun.State.STOPPING) {
             held.mState = HeldRun.State.STOPPING;
@@ -243,7 +259,7 @@
                 onPollFailed();
             }
             case PollReply.Unanswered unanswered -> {
-                mLiveness.recordUnanswered(target);
+                mLiveness.recordUnanswered(target, mPolls.elapsedMillis());
                 onPollFailed();
             }
         }
@@ -260,7 +276,7 @@
 
     private void onSnapshot(TargetIncarnation target, long number, RunSnapshot snapshot) {
         if (!snapshot.isOf(target)) {
-            mLiveness.recordUnanswered(target);
+            mLiveness.recordUnanswered(target, mPolls.elapsedMillis());
             onPollFailed();
             return;
         }
@@ -338,7 +354,10 @@
             return;
         }
         mPolls.onSent();
-        boolean renew = !mHeldRuns.isEmpty() && !mLiveness.leaseMayHaveExpired();
+        boolean renew =
+                !mHeldRuns.isEmpty()
+                        && !mHeldRuns.anyOrphaned()
+                        && !mLiveness.leaseMayHaveExpired();
         mActions.add(
                 new PoolSidecarAction.Poll(
                         mTarget.get(),
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
@@ -23,7 +23,12 @@
     /** After this many consecutive polls that reach no process, the target seems to be gone. */
     private static final int GONE_AFTER_UNREACHABLE = 2;
 
+    /** The lease that is requested, in milliseconds. */
     private final long mLeaseMillis;
+
+    /** The longest lease that the target grants, in milliseconds. */
+    private final long mLongestLeaseMillis;
+
     private long mNow;
 
     /**
@@ -58,8 +63,14 @@
     /** The same for the poll in flight; 0 if it requests none. */
     private long mPollLeaseEnd;
 
-    TargetLiveness(long leaseMillis) {
-        mLeaseMillis = Math.min(leaseMillis, PoolTiming.LEASE_MILLIS);
+    /**
+     * Creates the record of a target that has not answered.
+     *
+     * @param longestLeaseMillis the longest lease that the target grants, in milliseconds
+     */
+    TargetLiveness(long longestLeaseMillis) {
+        mLongestLeaseMillis = longestLeaseMillis;
+        mLeaseMillis = Math.min(longestLeaseMillis, PoolTiming.LEASE_MILLIS);
     }
 
     void advanceTo(long now) {
@@ -81,10 +92,14 @@
         recordClock(clock);
     }
 
-    /** Records that a poll got no usable answer: it may have renewed the lease. */
-    void recordUnanswered(TargetIncarnation target) {
+    /**
+     * Records that a poll got no usable answer: it may have renewed the lease.
+     *
+     * @param pollMillis how long the poll took, in milliseconds
+     */
+    void recordUnanswered(TargetIncarnation target, long pollMillis) {
         keepPolledLease();
-        countUnanswered(target, PollSchedule.MIN_UNANSWERED_MILLIS);
+        countUnanswered(target, pollMillis + PollSchedule.RETRY_MILLIS);
     }
 
     /**
@@ -129,9 +144,13 @@
         return mUnansweredPollCount < UNRESPONSIVE_AFTER_UNANSWERED && mUnreachablePollCount == 0;
     }
 
-    /** Returns the end of the lease to request by a start order, on the target's clock. */
-    long requestLeaseByStart() {
-        mLeaseEnd = nextLeaseEnd();
+    /**
+     * Returns the end of the lease to request by a start order, on the target's clock.
+     *
+     * @param renewable whether the lease of all runs may be renewed
+     */
+    long requestLeaseByStart(boolean renewable) {
+        mLeaseEnd = renewable ? nextLeaseEnd() : latestLeaseEnd();
         return mLeaseEnd;
     }
 
@@ -186,11 +205,14 @@
                 && targetNow() > latestLeaseEnd() + PoolTiming.LEASE_SLACK_MILLIS;
     }
 
-    /** Records a new incarnation of the target, whose clock starts anew, with its reading. */
+    /**
+     * Records a new incarnation of the target, with the reading of its clock, which starts anew: it
+     * may have granted the longest lease on a request by the clock of the earlier one.
+     */
     void onNewIncarnation(long clock) {
-        long lastLeaseEnd = latestLeaseEnd() - mClockOffset;
+        long remainingMillis = latestLeaseEnd() - targetNow() + mLongestLeaseMillis - mLeaseMillis;
         recordClock(clock);
-        mLeaseEnd = lastLeaseEnd + mClockOffset;
+        mLeaseEnd = targetNow() + Math.max(0, remainingMillis);
         mPollLeaseEnd = 0;
         recordHeard();
     }
