--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -302,13 +302,10 @@
         WorkerModel worker = mWorker;
         mSimulation.execute(
                 () -> {
-                    if (!workerAcceptsConnections()) {
+                    if (!workerAcceptsConnections() || mSimulation.mNow < mStopsLostUntil) {
                         onStopAnswered(sidecarIncarnation, stop, false);
                         return;
                     }
-                    if (mSimulation.mNow < mStopsLostUntil) {
-                        return;
-                    }
                     mSimulation.log("worker " + mIndex + " told to stop " + stop.run());
                     worker.stop(
                             stop.run().task(),
