--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -16,7 +16,7 @@
 
 /** The state that the controllers of a pool entry share; used by the control thread only. */
 final class PoolEntryState {
-    /** The connected sidecars, and lost ones until their runs have certainly ended. */
+    /** The connected sidecars, and lost ones until their runs count as ended. */
     final Map<NodeId, SidecarView> mSidecars = new LinkedHashMap<>();
 
     /** The jobs that are admitted and not yet answered, by id. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -71,8 +71,8 @@
 
     /**
      * Returns how long after the last message of a sidecar none of its runs can still be active, in
-     * milliseconds: by then the sidecar has stopped them, or it has died and their lease has
-     * expired.
+     * milliseconds: by then the sidecar has stopped them, or their lease has expired, as neither a
+     * sidecar that has died nor one that waits for their end renews it.
      *
      * @param leaseMillis the longest lease that a target grants, in milliseconds
      */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -293,7 +293,7 @@
     }
 
     /**
-     * Removes a sidecar whose runs have certainly ended, and makes their tasks wait again.
+     * Removes a sidecar whose runs count as ended, and makes their tasks wait again.
      *
      * @param reason why they have, for the log
      * @param counter the counter of runs that end for this reason
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -98,7 +98,7 @@
         Set<String> unsettled = unsettledJobs();
         return startable.stream()
                 .filter(job -> job.mJob.deadline() > mState.mNow)
-                .filter(job -> !heldBack(job, unsettled))
+                .filter(job -> !mustWait(job, unsettled))
                 .map(job -> new WaitingJob(job, mPlacement.late(job, mState.mNow)))
                 .sorted()
                 .toList();
@@ -111,21 +111,26 @@
         return unsettled;
     }
 
-    private boolean heldBack(ActiveJob job, Set<String> unsettled) {
-        String id = job.mJob.id();
-        boolean heldBack =
-                unsettled.contains(id)
-                        || mState.mStoppingRunCounts.containsKey(id)
+    /** Returns whether a job must wait, and counts and logs the first time that it does. */
+    private boolean mustWait(ActiveJob job, Set<String> unsettled) {
+        boolean runsElsewhere = unsettled.contains(job.mJob.id());
+        boolean waits =
+                runsElsewhere
+                        || mState.mStoppingRunCounts.containsKey(job.mJob.id())
                         || mState.mTimeline.callersMayHaveLeft(mResendMillis);
-        if (heldBack && !job.mEverHeldBack) {
-            job.mEverHeldBack = true;
-            mState.count(PoolEntryCounter.JOBS_HELD_BACK);
-            EventLog.line(Event.JOB_HELD_BACK)
-                    .with("job", id)
-                    .with("runs_elsewhere", unsettled.contains(id))
-                    .write();
+        if (waits && !job.mEverHeldBack) {
+            recordHeldBack(job, runsElsewhere);
         }
-        return heldBack;
+        return waits;
+    }
+
+    private void recordHeldBack(ActiveJob job, boolean runsElsewhere) {
+        job.mEverHeldBack = true;
+        mState.count(PoolEntryCounter.JOBS_HELD_BACK);
+        EventLog.line(Event.JOB_HELD_BACK)
+                .with("job", job.mJob.id())
+                .with("runs_elsewhere", runsElsewhere)
+                .write();
     }
 
     /** Places the startable tasks of a job, up to the first one that finds no target. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunEnds.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunEnds.java
@@ -36,17 +36,21 @@
     }
 
     /**
-     * Ends a run that a snapshot does not list.
+     * Ends a run that a snapshot of the incarnation that was ordered to start it does not list.
      *
-     * @param sameIncarnation whether the incarnation that was ordered to start the run has answered
      * @param silentMillis for how long the target was silent, in milliseconds
      */
-    void endOmitted(HeldRun held, boolean sameIncarnation, long silentMillis) {
-        if (sameIncarnation) {
-            endLost(held, false, EndEvidence.OMITTED, silentMillis);
-        } else {
-            endLost(held, true, EndEvidence.REPLACED, silentMillis);
-        }
+    void endOmitted(HeldRun held, long silentMillis) {
+        endLost(held, false, EndEvidence.OMITTED, silentMillis);
+    }
+
+    /**
+     * Ends a run that a new incarnation of its target does not list.
+     *
+     * @param silentMillis for how long the target was silent, in milliseconds
+     */
+    void endReplaced(HeldRun held, long silentMillis) {
+        endLost(held, true, EndEvidence.REPLACED, silentMillis);
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunLog.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunLog.java
@@ -21,7 +21,7 @@
     }
 
     /**
-     * Writes why a run counts as ended without its target's word.
+     * Writes why a run counts as ended although its target has not reported the end.
      *
      * @param silentMillis for how long the target has been silent, in milliseconds
      */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -295,8 +295,15 @@
                 .filter(held -> held.mConclusivePoll <= number)
                 .filter(held -> !running.contains(held.mStartTask.run()))
                 .toList()
-                .forEach(held ->
-                        mEnds.endOmitted(held, current(held.mTarget), mLiveness.silentMillis()));
+                .forEach(this::endUnlisted);
+    }
+
+    private void endUnlisted(HeldRun held) {
+        if (current(held.mTarget)) {
+            mEnds.endOmitted(held, mLiveness.silentMillis());
+        } else {
+            mEnds.endReplaced(held, mLiveness.silentMillis());
+        }
     }
 
     private void onEnded(RunSnapshot.Ended ended) {
