--- a/review/tool-2/CancelElsewhere.java
+++ b/review/tool-2/CancelElsewhere.java
@@ -1,6 +1,4 @@
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 
 /**
  * Clients cancel jobs that wait for their end at one entry. With trouble, half of the clients have
@@ -23,7 +21,7 @@
 
     private static int run(Record record, boolean trouble) throws Exception {
         try (Rig rig = new Rig(record, 2, 3, 16_000)) {
-            rig.configure(7);
+            rig.configure(7, Rig.PREFIX);
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
@@ -31,13 +29,12 @@
             }
             // Longer than any contactMs of the small sites: all machines are in touch.
             Record.sleep(4_000);
-            List<Thread> callers = new ArrayList<>();
+            String body = job(5, TASK_MILLIS);
             long[] cancelledAt = new long[JOBS];
             for (int i = 0; i < JOBS; i++) {
                 String id = id(i);
-                callers.add(
-                        Thread.ofVirtual()
-                                .start(() -> rig.send(rig.mEntries.get(0), "POST", id, job(), 30_000)));
+                Thread.ofVirtual()
+                        .start(() -> rig.send(rig.mEntries.get(0), "POST", id, body, 30_000));
             }
             Record.sleep(500);
             for (int i = 0; i < JOBS; i++) {
@@ -59,15 +56,15 @@
         return String.format("5c0e7a21d94b36%02x", job);
     }
 
-    /** Five steps of tasks of 1.3 s, one after the other. */
-    private static String job() {
+    /** Returns a job whose steps of two tasks come one after the other. */
+    static String job(int stepCount, int taskMillis) {
         StringBuilder steps = new StringBuilder();
-        for (int step = 0; step < 5; step++) {
+        for (int step = 0; step < stepCount; step++) {
             steps.append(step == 0 ? "" : ",")
-                    .append("{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":" + TASK_MILLIS)
+                    .append("{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":" + taskMillis)
                     .append(step == 0 ? "}" : ",\"after\":[" + (step - 1) + "]}");
         }
-        return "{\"spec\":\"" + TASK_MILLIS + "\",\"bestEffort\":true,\"steps\":[" + steps + "]}";
+        return "{\"spec\":\"" + taskMillis + "\",\"bestEffort\":true,\"steps\":[" + steps + "]}";
     }
 
     private static int check(Rig rig, long[] cancelledAt) {
--- a/review/tool-2/OddHeartbeat.java
+++ b/review/tool-2/OddHeartbeat.java
@@ -3,11 +3,12 @@
 
 /**
  * Requests are served, then all processes of the system are killed at once and start again. With
- * trouble, a heartbeat of another writer has reached each sidecar before: it names a service that
- * the configuration doesn't.
+ * trouble, heartbeats of another writer reach each sidecar from before that on, as often as those of
+ * its runner: they name a service that the configuration doesn't.
  */
 final class OddHeartbeat {
     private static final long RECOVERY_MILLIS = 12_000;
+    private static final long HEARTBEAT_MILLIS = 1_500;
     private static final int REQUESTS = 60;
 
     private OddHeartbeat() {}
@@ -20,7 +21,7 @@
 
     private static int run(Record record, boolean trouble) throws Exception {
         try (Rig rig = new Rig(record, 2, 3, 64_000)) {
-            rig.configure(7);
+            rig.configure(7, Rig.PREFIX);
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
@@ -33,7 +34,9 @@
                 return 2;
             }
             for (int i = 0; trouble && i < rig.mSidecars.size(); i++) {
-                sendOddHeartbeat(rig, i);
+                int sidecar = i;
+                long born = System.currentTimeMillis() - 1_000;
+                Thread.ofVirtual().start(() -> sendOddHeartbeats(rig, sidecar, born));
             }
             Record.sleep(3_000);
             served(rig, "b");
@@ -56,19 +59,24 @@
     }
 
     /** A runner of another installation announces itself here: its service isn't named here. */
-    private static void sendOddHeartbeat(Rig rig, int sidecar) {
+    private static void sendOddHeartbeats(Rig rig, int sidecar, long born) {
         String id = "x-" + (sidecar + 1);
-        String body =
-                "{\"service\":\"elsewhere\",\"address\":\"" + rig.unusedAddress(sidecar)
-                        + "\",\"zone\":\"z9\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-                        + "\"coldMs\":0,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"
-                        + "\"labels\":[\"a\"],\"clockMs\":1000,\"seq\":1,\"born\":"
-                        + (System.currentTimeMillis() - 1_000) + "}";
         String control = rig.mSidecars.get(sidecar).control();
-        rig.mRecord.line("another writer sends PUT /instances/" + id + " " + body);
-        Http.Response response =
-                Http.call(control, "PUT", "/instances/" + id, control, body, 1_000);
-        rig.mRecord.line("another writer has " + response.status() + " " + response.body());
+        for (int sequence = 1; ; sequence++) {
+            String body =
+                    "{\"service\":\"elsewhere\",\"address\":\"" + rig.unusedAddress(sidecar)
+                            + "\",\"zone\":\"z9\",\"version\":\"v1\",\"slots\":8,"
+                            + "\"state\":\"ready\",\"coldMs\":0,"
+                            + "\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"
+                            + "\"labels\":[\"a\"],\"clockMs\":"
+                            + (System.currentTimeMillis() - born) + ",\"seq\":" + sequence
+                            + ",\"born\":" + born + "}";
+            rig.mRecord.line("another writer sends PUT /instances/" + id + " " + body);
+            Http.Response response =
+                    Http.call(control, "PUT", "/instances/" + id, control, body, 1_000);
+            rig.mRecord.line("another writer has " + response.status() + " " + response.body());
+            Record.sleep(HEARTBEAT_MILLIS);
+        }
     }
 
     /** Sends requests with a time budget of 1.5 s and returns how many were served. */
--- a/review/tool-2/Rig.java
+++ b/review/tool-2/Rig.java
@@ -164,16 +164,21 @@
         return ThreadLocalRandom.current().nextInt(20_000, 30_000);
     }
 
-    /** Writes a configuration with one queue, as the operator does. */
-    void configure(long version) {
+    /** Writes a configuration with one queue for each prefix, as the operator does. */
+    void configure(long version, String... prefixes) {
+        StringBuilder routes = new StringBuilder();
+        for (String prefix : prefixes) {
+            routes.append(routes.isEmpty() ? "" : ",")
+                    .append("{\"name\":\"queue-" + prefix.replace("/", "") + "\",\"host\":\"" + HOST)
+                    .append("\",\"prefix\":\"" + prefix + "\",\"service\":\"" + SERVICE)
+                    .append("\",\"priority\":0,\"maxAttempts\":3,\"stretch\":1.6,")
+                    .append("\"timeoutMs\":30000,\"targetDurationMs\":20000}");
+        }
         mStore.put(
                 "op/config",
-                "{\"version\":" + version + ",\"routes\":[{\"name\":\"hire\",\"host\":\"" + HOST
-                        + "\",\"prefix\":\"" + PREFIX + "\",\"service\":\"" + SERVICE
-                        + "\",\"priority\":0,\"maxAttempts\":3,\"stretch\":1.6,"
-                        + "\"timeoutMs\":30000,\"targetDurationMs\":20000}],\"services\":[{\"name\":\""
+                "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[{\"name\":\""
                         + SERVICE + "\",\"admissionControl\":false}],\"limits\":{}}");
-        mRecord.line("op/config has version " + version);
+        mRecord.line("op/config has version " + version + " with " + String.join(" ", prefixes));
     }
 
     /** Returns the machines of the system. */
