--- a/review/tool-2/Http.java
+++ b/review/tool-2/Http.java
@@ -51,22 +51,24 @@
                             Integer.parseInt(address.substring(colon + 1))),
                     waitMillis);
             socket.setSoTimeout(waitMillis);
-            byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            String head =
-                    method + " " + path + " HTTP/1.1\r\nHost: " + host
-                            + "\r\nContent-Type: application/json\r\nContent-Length: "
-                            + bytes.length
-                            + "\r\nX-Jackdawsaddle-Deadline-Ms: " + waitMillis + "\r\n\r\n";
-            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-            socket.getOutputStream().write(bytes);
-            socket.getOutputStream().flush();
+            String request = request(method, path, host, body, waitMillis);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
             return read(new BufferedInputStream(socket.getInputStream()));
         } catch (IOException e) {
             return new Response(0, e.toString());
         }
     }
 
-    private static Response read(InputStream in) throws IOException {
+    /** Returns the text of a request. */
+    static String request(String method, String path, String host, String body, int waitMillis) {
+        return method + " " + path + " HTTP/1.1\r\nHost: " + host
+                + "\r\nContent-Type: application/json\r\nContent-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length
+                + "\r\nX-Jackdawsaddle-Deadline-Ms: " + waitMillis + "\r\n\r\n" + body;
+    }
+
+    /** Reads one response. */
+    static Response read(InputStream in) throws IOException {
         String status = line(in);
         int length = 0;
         for (String header = line(in); !header.isEmpty(); header = line(in)) {
