--- a/review/tool-2/CancelElsewhere.java
+++ b/review/tool-2/CancelElsewhere.java
@@ -1,5 +1,3 @@
-import java.nio.file.Path;
-
 /**
  * Clients cancel jobs that wait for their end at one entry. With trouble, half of the clients have
  * moved to another zone meanwhile: their open channels stay, and their cancelling reaches the entry
@@ -14,9 +12,7 @@
     private CancelElsewhere() {}
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        System.exit(run(record, trouble));
+        Case.main(arguments, CancelElsewhere::run);
     }
 
     private static int run(Record record, boolean trouble) throws Exception {
@@ -25,7 +21,7 @@
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
-                return 2;
+                return Case.NOT_RUN;
             }
             // Longer than any contactMs of the small sites: all machines are in touch.
             Record.sleep(4_000);
@@ -43,7 +39,7 @@
                         rig.send(rig.mEntries.get(moved ? 1 : 0), "DELETE", id(i), "", 4_000);
                 if (answer.status() / 100 != 2 && answer.status() != 410) {
                     record.line("the cancelling has no ack");
-                    return 2;
+                    return Case.NOT_RUN;
                 }
                 cancelledAt[i] = record.now();
             }
@@ -90,6 +86,6 @@
         rig.mRecord.line(
                 lateStarts + " starts later than " + CANCEL_MILLIS + " ms after the ack, " + lateRuns
                         + " runs go on later than " + (CANCEL_MILLIS + STOP_TIMEOUT_MILLIS) + " ms");
-        return lateStarts + lateRuns > 0 ? 1 : 0;
+        return lateStarts + lateRuns > 0 ? Case.BROKEN : Case.HELD;
     }
 }
--- a/review/tool-2/CancelRemovedQueue.java
+++ b/review/tool-2/CancelRemovedQueue.java
@@ -1,5 +1,3 @@
-import java.nio.file.Path;
-
 /**
  * Clients cancel jobs that wait for their end. With trouble, a configuration has removed the queue of
  * the jobs meanwhile; without, it has removed another one.
@@ -16,9 +14,7 @@
     private CancelRemovedQueue() {}
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        System.exit(run(record, trouble));
+        Case.main(arguments, CancelRemovedQueue::run);
     }
 
     private static int run(Record record, boolean trouble) throws Exception {
@@ -27,7 +23,7 @@
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
-                return 2;
+                return Case.NOT_RUN;
             }
             // Longer than any contactMs of the small sites: all machines are in touch.
             Record.sleep(4_000);
@@ -77,6 +73,6 @@
         }
         rig.mRecord.line(
                 lateStarts + " starts and " + lateRuns + " runs after their job had to be gone");
-        return lateStarts + lateRuns > 0 ? 1 : 0;
+        return lateStarts + lateRuns > 0 ? Case.BROKEN : Case.HELD;
     }
 }
--- a/review/tool-2/OddHeartbeat.java
+++ b/review/tool-2/OddHeartbeat.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -14,9 +13,7 @@
     private OddHeartbeat() {}
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        System.exit(run(record, trouble));
+        Case.main(arguments, OddHeartbeat::run);
     }
 
     private static int run(Record record, boolean trouble) throws Exception {
@@ -25,13 +22,13 @@
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
-                return 2;
+                return Case.NOT_RUN;
             }
             Record.sleep(2_000);
             int before = served(rig, "a");
             if (before * 4 < REQUESTS) {
                 record.line("less than a quarter is served before the fault");
-                return 2;
+                return Case.NOT_RUN;
             }
             for (int i = 0; trouble && i < rig.mSidecars.size(); i++) {
                 int sidecar = i;
@@ -41,8 +38,7 @@
             Record.sleep(3_000);
             served(rig, "b");
             for (Rig.Machine machine : rig.machines()) {
-                machine.signal("KILL");
-                machine.mProcess.waitFor();
+                machine.kill();
             }
             Record.sleep(1_000);
             rig.startAll();
@@ -54,7 +50,7 @@
                     "before the final fault " + before + " of " + REQUESTS + " were served, "
                             + RECOVERY_MILLIS + " ms after the machines were back " + after
                             + (broken ? ": RECOVER is broken" : ""));
-            return broken ? 1 : 0;
+            return broken ? Case.BROKEN : Case.HELD;
         }
     }
 
--- a/review/tool-2/PipelinedReset.java
+++ b/review/tool-2/PipelinedReset.java
@@ -2,7 +2,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,9 +22,7 @@
     private PipelinedReset() {}
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        System.exit(run(record, trouble));
+        Case.main(arguments, PipelinedReset::run);
     }
 
     private static int run(Record record, boolean trouble) throws Exception {
@@ -34,7 +31,7 @@
             rig.startAll();
             if (!rig.awaitReady(20_000)) {
                 record.line("the system is not ready");
-                return 2;
+                return Case.NOT_RUN;
             }
             Record.sleep(2_000);
             List<Thread> clients = new ArrayList<>();
@@ -120,7 +117,7 @@
             }
         }
         rig.mRecord.line(doubled + " tasks had two runs at the same time");
-        return doubled > 0 ? 1 : 0;
+        return doubled > 0 ? Case.BROKEN : Case.HELD;
     }
 
     private static long end(Rig rig, Runner.Run run) {
--- a/review/tool-2/Rig.java
+++ b/review/tool-2/Rig.java
@@ -56,10 +56,10 @@
             mRecord.line("process of " + mName + " starts");
         }
 
-        /** Sends a signal to the process. */
-        void signal(String name) throws IOException, InterruptedException {
-            mRecord.line("SIG" + name + " to the process of " + mName);
-            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
+        /** Kills the process (SIGKILL). */
+        void kill() throws InterruptedException {
+            mProcess.destroyForcibly().waitFor();
+            mRecord.line("process of " + mName + " is killed");
         }
     }
 
