--- a/review/tool-2/CancelRemovedQueue.java
+++ b/review/tool-2/CancelRemovedQueue.java
@@ -29,7 +29,7 @@
             Record.sleep(4_000);
             for (int i = 0; i < JOBS; i++) {
                 String id = id(i);
-                String body = CancelElsewhere.job(STEPS, TASK_MILLIS);
+                String body = job();
                 Thread.ofVirtual()
                         .start(() -> rig.send(rig.mEntries.get(0), "POST", id, body, 30_000));
             }
@@ -53,6 +53,17 @@
         return String.format("7d0e7a21d94b36%02x", job);
     }
 
+    /** Returns a job whose steps of two tasks come one after the other. */
+    private static String job() {
+        StringBuilder steps = new StringBuilder();
+        for (int step = 0; step < STEPS; step++) {
+            steps.append(step == 0 ? "" : ",")
+                    .append("{\"count\":2,\"cpu\":1000,\"memMb\":64,\"estimateMs\":" + TASK_MILLIS)
+                    .append(step == 0 ? "}" : ",\"after\":[" + (step - 1) + "]}");
+        }
+        return "{\"spec\":\"" + TASK_MILLIS + "\",\"bestEffort\":true,\"steps\":[" + steps + "]}";
+    }
+
     private static int check(Rig rig, long[] stopBy) {
         int lateStarts = 0;
         int lateRuns = 0;
--- a/review/tool-2/Rig.java
+++ b/review/tool-2/Rig.java
@@ -65,6 +65,7 @@
 
     final Record mRecord;
     final Store mStore;
+    final StoreProxy mStoreProxy;
     final List<Machine> mEntries = new ArrayList<>();
     final List<Machine> mSidecars = new ArrayList<>();
     final List<Runner> mRunners = new ArrayList<>();
@@ -83,6 +84,7 @@
         mPort = freePort();
         mAppPort = mPort + 4;
         mStore = new Store(mNetwork + 1, mPort + 3);
+        mStoreProxy = new StoreProxy(mNetwork + 2, mNetwork + 1, mPort + 3);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < entries; i++) {
@@ -121,7 +123,7 @@
                         .replace("{{seeds|json}}", "[" + String.join(",", seeds) + "]")
                         .replace(
                                 "{{platform.address|json}}",
-                                quoted(mNetwork + 1 + ":" + (mPort + 3)))
+                                quoted(mNetwork + 2 + ":" + (mPort + 3)))
                         .replace("{{bounds.holdMaxMs|json}}", "1000")
                         .replace("{{bounds.resendMs|json}}", "1300")
                         .replace("{{bounds.graceS|json}}", "6");
@@ -225,20 +227,26 @@
 
     /** Sends a request of a client and records it with its answer. */
     Http.Response send(Machine entry, String method, String id, String body, int waitMillis) {
-        mRecord.line("client sends " + method + " " + PREFIX + id + " to " + entry.mName);
-        Http.Response response =
-                Http.call(entry.front(), method, PREFIX + id, HOST, body, waitMillis);
+        return sendTo(entry, method, PREFIX + id, body, waitMillis);
+    }
+
+    /** The same for any path. */
+    Http.Response sendTo(
+            Machine entry, String method, String path, String body, int waitMillis) {
+        mRecord.line("client sends " + method + " " + path + " to " + entry.mName);
+        Http.Response response = Http.call(entry.front(), method, path, HOST, body, waitMillis);
         mRecord.line(
-                "client has for " + method + " " + id + ": " + response.status() + " "
-                        + response.body());
+                "client has for " + method + " " + path + " from " + entry.mName + ": "
+                        + response.status() + " " + response.body());
         return response;
     }
 
     /** Ends all processes and stand-ins. */
     @Override
-    public void close() {
+    public void close() throws IOException {
         endProcesses();
         mRunners.forEach(Runner::stop);
+        mStoreProxy.stop();
         mStore.stop();
     }
 
