Let the runner stand-in send heartbeats without holding its runs

Found by a soak: while a heartbeat waited for a frozen sidecar, the stand-in did not end lapsed runs. What the case of draining runners needed is removed.

--- a/review/tool-2/Runner.java
+++ b/review/tool-2/Runner.java
@@ -53,7 +53,6 @@
     private long mLeaseUntil;
     private long mSequence;
     private volatile boolean mStopped;
-    private volatile boolean mDraining;
 
     Runner(Record record, String id, String service, String address, String control, int cpu)
             throws IOException {
@@ -250,45 +249,14 @@
         }
     }
 
-    private synchronized Http.Response sendHeartbeat() {
+    private void sendHeartbeat() {
         mSequence++;
-        String state = mDraining ? "draining\",\"remainingMs\":2000" : "ready\"";
         String body =
                 "{\"service\":\"" + mService + "\",\"address\":\"" + mAddress
-                        + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + state
-                        + ",\"coldMs\":0,\"capacity\":{\"cpu\":" + mCpu
+                        + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+                        + "\"coldMs\":0,\"capacity\":{\"cpu\":" + mCpu
                         + ",\"memMb\":262144,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clockMs\":"
                         + clock() + ",\"seq\":" + mSequence + ",\"born\":" + mBorn + "}";
-        return Http.call(mControl, "PUT", "/instances/" + mId, mControl, body, 1_000);
-    }
-
-    /** Says from now on that it drains; returns when a 2xx acknowledged that, or -1. */
-    long drain() {
-        mDraining = true;
-        Http.Response response = sendHeartbeat();
-        mRecord.line("runner " + mId + " says that it is draining and has " + response.status());
-        return response.status() / 100 == 2 ? mRecord.now() : -1;
-    }
-
-    /** Leaves: everything that runs ends with it. */
-    void leave() {
-        Http.call(mControl, "DELETE", "/instances/" + mId, mControl, "", 1_000);
-        synchronized (this) {
-            List.copyOf(mRunning.values()).forEach(run -> end(run, "gone"));
-        }
-        mRecord.line("runner " + mId + " has left");
-        stop();
-    }
-
-    /** Returns a heartbeat like that of an older agent of this runner: it lacks most fields. */
-    String oldAgentsHeartbeat(long sequence) {
-        return "{\"service\":\"" + mService + "\",\"address\":\"" + mAddress
-                + "\",\"state\":\"ready\",\"capacity\":{\"cpu\":" + mCpu
-                + ",\"memMb\":262144},\"clockMs\":" + clock() + ",\"seq\":" + sequence
-                + ",\"born\":" + mBorn + "}";
-    }
-
-    String id() {
-        return mId;
+        Http.call(mControl, "PUT", "/instances/" + mId, mControl, body, 1_000);
     }
 }
