Notice sooner that the connections to the store have gone silent

Cause: a watch of the operator's keys was given up 1 s after its waiting time, and the read that followed took an idle connection that was silent too and waited another second. All entries went by the old version until about 4.1 s after the silence, 1.1 s longer than the rule allows.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpClient.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpClient.java
@@ -113,6 +113,14 @@
         return pending.mResponse;
     }
 
+    /** Closes the connections to an address that no request uses. */
+    public void closeIdleConnections(String address) {
+        Deque<ClientConnection> idleConnections = mIdleConnections.remove(address);
+        if (idleConnections != null) {
+            idleConnections.forEach(IoUtils::safeClose);
+        }
+    }
+
     private Optional<ClientConnection> takeIdleConnection(String address) {
         Deque<ClientConnection> idleConnections = mIdleConnections.get(address);
         while (idleConnections != null) {
