--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/KvStandIn.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/KvStandIn.java
@@ -54,13 +54,18 @@
 
     private record AbsentBody(long currentRev) {}
 
-    private record ChangesBody(List<Item> events, long currentRev) {}
+    private record ChangesBody(List<Object> events, long currentRev) {}
 
     private record PutBody(String key, String value, long lease) {}
 
     private record TransactionBody(
             List<Object> precondition, List<PutBody> puts, List<String> deletes) {}
 
+    private record ItemsBody(List<Item> items, boolean hasMore, long currentRev) {}
+
+    /** A change: a key as it was written, or its deletion. */
+    private record Deletion(String key, long revision, boolean deleted) {}
+
     private record WrittenBody(long revision) {}
 
     /**
@@ -75,6 +80,7 @@
     private final UnixClock mClock;
     private final HttpServer mServer;
     private final Map<String, Item> mItems = new HashMap<>();
+    private final Map<String, Deletion> mDeletions = new HashMap<>();
     private final List<Watcher> mWatchers = new ArrayList<>();
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
@@ -92,6 +98,7 @@
         mClock = clock;
         RoutingHandler routes = new RoutingHandler();
         routes.get("/kv-key", exchange -> withFault(exchange, this::read));
+        routes.get("/kv-range", exchange -> withFault(exchange, this::list));
         routes.get("/kv-watch", exchange -> withFault(exchange, this::watch));
         routes.post("/kv-txn", exchange -> withFault(exchange, this::write));
         mServer = new HttpServer(address, 1, MAX_BODY_BYTES, 0, routes);
@@ -120,6 +127,14 @@
         mRevision++;
         String value = Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
         mItems.put(key, new Item(key, value, mRevision, mRevision, 0));
+        mDeletions.remove(key);
+    }
+
+    /** Deletes a key, as an operator does. */
+    public synchronized void delete(String key) {
+        mRevision++;
+        mItems.remove(key);
+        mDeletions.put(key, new Deletion(key, mRevision, true));
     }
 
     /**
@@ -159,6 +174,14 @@
                         mRevision));
     }
 
+    /** Returns all keys under a prefix as one page. */
+    private void list(HttpServerExchange exchange) {
+        String prefix = parameter(exchange, "prefix");
+        List<Item> items =
+                mItems.values().stream().filter(item -> item.key().startsWith(prefix)).toList();
+        HttpExchanges.sendJson(exchange, OK, new ItemsBody(items, false, mRevision));
+    }
+
     /** Executes the puts of a transaction; preconditions and deletes are ignored. */
     private void write(HttpServerExchange exchange) {
         HttpExchanges.receiveBody(
@@ -185,11 +208,15 @@
 
     private synchronized void answerWatchers() {
         for (Watcher watcher : List.copyOf(mWatchers)) {
-            List<Item> events =
-                    mItems.values().stream()
-                            .filter(item -> item.key().startsWith(watcher.prefix()))
-                            .filter(item -> item.revision() > watcher.afterRevision())
-                            .toList();
+            List<Object> events = new ArrayList<>();
+            mItems.values().stream()
+                    .filter(item -> item.key().startsWith(watcher.prefix()))
+                    .filter(item -> item.revision() > watcher.afterRevision())
+                    .forEach(events::add);
+            mDeletions.values().stream()
+                    .filter(deletion -> deletion.key().startsWith(watcher.prefix()))
+                    .filter(deletion -> deletion.revision() > watcher.afterRevision())
+                    .forEach(events::add);
             if (watcher.afterRevision() < mCompactedRevision) {
                 mWatchers.remove(watcher);
                 HttpExchanges.sendJson(watcher.exchange(), HISTORY_COMPACTED, "{}");
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ConfigurationPushTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ConfigurationPushTest.java
@@ -52,7 +52,8 @@
                                     "ledger",
                                     new Demand(64, 1_000, 0),
                                     List.of(),
-                                    1)));
+                                    1,
+                                    0)));
         }
         mPushes.clear();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
@@ -76,6 +76,7 @@
                                 "ledger",
                                 new Demand(16, 1_000, 0),
                                 List.of(),
+                                0,
                                 0));
         sidecar.onConnected(NOW);
         sidecar.onRoom(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -229,7 +229,8 @@
         mCore.handle(new PoolEntryEvent.PeerConnected(peer), mNow);
         collectActions();
         mSentToPeers.clear();
-        mCore.handle(new PoolEntryEvent.PeerAnswered(peer, new PoolMessage.Ping(4, false)), mNow);
+        mCore.handle(
+                new PoolEntryEvent.PeerAnswered(peer, new PoolMessage.Ping(4, false, 0)), mNow);
         collectActions();
         assertTrue(mSentToPeers.get(0) instanceof PoolMessage.ConfigurationPush);
         mCore.handle(new PoolEntryEvent.PeerSent(peer, mSentToPeers.get(0)), mNow);
@@ -242,7 +243,8 @@
         mCore.handle(new PoolEntryEvent.PeerConnected(peer), mNow);
         for (long passed = 0; passed <= PoolTiming.PEER_TIMEOUT_MILLIS; passed += 20) {
             mNow += 20;
-            mCore.handle(new PoolEntryEvent.PeerSent(peer, new PoolMessage.Ping(1, false)), mNow);
+            mCore.handle(
+                    new PoolEntryEvent.PeerSent(peer, new PoolMessage.Ping(1, false, 0)), mNow);
             tick();
         }
         assertEquals(
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
@@ -88,6 +88,7 @@
                                 "ledger",
                                 new Demand(16, 1_000, 0),
                                 List.of(),
+                                0,
                                 0)),
                 mNow);
         reportRoom(sidecar, 16, List.of());
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryStateTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryStateTest.java
@@ -23,7 +23,7 @@
         SidecarView sidecar =
                 new SidecarView(
                         new PoolMessage.Hello(
-                                SIDECAR, "here", "target", "ledger", Demand.NONE, List.of(), 0));
+                                SIDECAR, "here", "target", "ledger", Demand.NONE, List.of(), 0, 0));
         state.mSidecars.put(SIDECAR, sidecar);
         state.requestStop(sidecar, placedRun());
         state.flushStops();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolShape.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolShape.java
@@ -22,6 +22,9 @@
     /** The service of all workers. */
     static final String SERVICE = "ledger";
 
+    /** The data centres of the sidecars, in turn. */
+    private static final List<String> DATA_CENTRES = List.of("west", "north", "east");
+
     /** Returns a small pool with one queue, "checks". */
     static PoolShape small(int entries, int sidecars) {
         PoolQueue queue = new PoolQueue("checks", "h", "/c/", SERVICE, 0, 3, 1.6, 60, 0);
@@ -36,4 +39,8 @@
     double speedOf(int sidecar) {
         return speeds.get(sidecar % speeds.size());
     }
+
+    String dataCentreOf(int sidecar) {
+        return DATA_CENTRES.get(sidecar % DATA_CENTRES.size());
+    }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
@@ -109,7 +109,7 @@
         mCore.handle(
                 new PoolEntryEvent.SidecarAnnounced(
                         new PoolMessage.Hello(
-                                SIDECAR, "here", "target", "ledger", capacity, List.of(), 0)),
+                                SIDECAR, "here", "target", "ledger", capacity, List.of(), 0, 0)),
                 mNow);
         report();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SidecarRankingTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SidecarRankingTest.java
@@ -65,6 +65,7 @@
                                     "ledger",
                                     Demand.NONE,
                                     List.of(),
+                                    0,
                                     0)));
         }
         return sidecars;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
@@ -116,7 +116,7 @@
     /** Sends a message to another entry, which answers with a ping if it is alive. */
     private void sendToPeer(PoolEntryAction.SendToPeer send) {
         mSimulation.mPeerMessageCount++;
-        PoolMessage.Ping answer = new PoolMessage.Ping(1, false);
+        PoolMessage.Ping answer = new PoolMessage.Ping(1, false, 0);
         for (SimulatedEntry peer : mSimulation.mEntries) {
             if (peer.mAlive && send.peer().equals(peer.node())) {
                 int incarnation = mIncarnation;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -60,7 +60,7 @@
         mCore =
                 new PoolSidecarCore(
                         new NodeId(mName, mIncarnation),
-                        "here",
+                        mSimulation.mShape.dataCentreOf(mIndex),
                         mSimulation.mNow,
                         WorkerModel.LEASE_MILLIS);
         mConnectionNumbers.clear();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTest.java
@@ -287,7 +287,7 @@
                     new PoolSidecarEvent.PollAnswered(
                             mTarget, mLastPollNumber, new PollReply.Unanswered()));
             mNow += 50;
-            handle(new PoolSidecarEvent.EntrySent(ENTRY, new PoolMessage.Ping(0, true)));
+            handle(new PoolSidecarEvent.EntrySent(ENTRY, new PoolMessage.Ping(0, true, 0)));
             handle(new PoolSidecarEvent.Tick());
         }
         return latestLeaseEnd;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -62,7 +62,7 @@
     }
 
     void ping(NodeId entry) {
-        send(entry, new PoolMessage.Ping(0, false));
+        send(entry, new PoolMessage.Ping(0, false, 0));
     }
 
     void tick() {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/TargetCrashTest.java
@@ -233,8 +233,8 @@
 
     private void waitForNextPoll() {
         mNow += POLL_INTERVAL_MILLIS;
-        handle(new PoolSidecarEvent.EntrySent(OWNER, new PoolMessage.Ping(0, true)));
-        handle(new PoolSidecarEvent.EntrySent(OTHER, new PoolMessage.Ping(0, true)));
+        handle(new PoolSidecarEvent.EntrySent(OWNER, new PoolMessage.Ping(0, true, 0)));
+        handle(new PoolSidecarEvent.EntrySent(OTHER, new PoolMessage.Ping(0, true, 0)));
         handle(new PoolSidecarEvent.Tick());
     }
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
@@ -20,6 +21,7 @@
 import org.jackdawsaddle.job.JobRequest;
 import org.jackdawsaddle.job.SubmissionId;
 import org.jackdawsaddle.job.TaskRequest;
+import org.jackdawsaddle.pool.Evacuation;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -83,17 +85,25 @@
         List<PoolMessage> all =
                 List.of(
                         new PoolMessage.Hello(
-                                NODE, "d", "t", "s", new Demand(64, 4, 1), List.of("a", "r1-1"), 7),
+                                NODE,
+                                "d",
+                                "t",
+                                "s",
+                                new Demand(64, 4, 1),
+                                List.of("a", "r1-1"),
+                                7,
+                                8),
                         new PoolMessage.Room(overcommitted, true, 3, 4, List.of("j")),
                         new PoolMessage.TaskReports(reports),
                         new PoolMessage.Welcome(NODE, List.of("127.0.0.1:1")),
                         new PoolMessage.Start(1, 2, List.of(task)),
                         new PoolMessage.Stop(List.of(run)),
                         new PoolMessage.Resume(List.of(run)),
-                        new PoolMessage.Ping(5, true),
-                        new PoolMessage.PeerHello(NODE, "127.0.0.1:1", 6),
+                        new PoolMessage.Ping(5, true, 9),
+                        new PoolMessage.PeerHello(NODE, "127.0.0.1:1", 6, 7),
                         new PoolMessage.Members(List.of("127.0.0.1:1", "127.0.0.1:2")),
-                        new PoolMessage.ConfigurationPush(8, "{}"));
+                        new PoolMessage.ConfigurationPush(8, "{}"),
+                        new PoolMessage.EvacuationPush(new Evacuation(9, Set.of("a", "b"))));
         return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
     }
 
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/platform/ConfigurationWatcherTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/platform/OperatorWatcherTest.java
@@ -5,19 +5,21 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.jackdawsaddle.internal.http.HttpClient;
 import org.jackdawsaddle.internal.runtime.UnixClock;
+import org.jackdawsaddle.pool.Evacuation;
 import org.jackdawsaddle.pool.PoolConfiguration;
 import org.jackdawsaddle.standin.platform.KvStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests that no document in the store ends the watch of the configuration. */
-public class ConfigurationWatcherTest {
+/** Tests that evacuations are read, and that no document in the store ends the watch. */
+public class OperatorWatcherTest {
     private static final String ADDRESS = "127.85.0.1:18169";
     private static final String KEY = "op/config";
     private static final long TIMEOUT_SECONDS = 10;
@@ -29,23 +31,30 @@
     private static final long SETTLE_MILLIS = 300;
     private static final long SEED = 1;
 
+    /** Longer than a watch lasts. */
+    private static final long WATCH_MILLIS = 2_200;
+
     private final UnixClock mClock = new UnixClock();
     private final BlockingQueue<PoolConfiguration> mApplied = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Evacuation> mEvacuations = new LinkedBlockingQueue<>();
     private KvStandIn mStore;
     private HttpClient mHttpClient;
-    private ConfigurationWatcher mWatcher;
+    private OperatorWatcher mWatcher;
 
     @BeforeMethod
     public void startWatcher() throws InterruptedException {
         mApplied.clear();
+        mEvacuations.clear();
         mStore = new KvStandIn(ADDRESS, mClock);
         mStore.start();
         mStore.put(KEY, document(1));
         mHttpClient = new HttpClient(mClock, 1);
         mHttpClient.start();
         mWatcher =
-                new ConfigurationWatcher(
-                        new KvStoreClient(mHttpClient, ADDRESS, mClock), mApplied::add);
+                new OperatorWatcher(
+                        new KvStoreClient(mHttpClient, ADDRESS, mClock),
+                        mApplied::add,
+                        mEvacuations::add);
         mWatcher.start();
         awaitVersion(1);
     }
@@ -83,6 +92,44 @@
         awaitVersion(1_000_000);
     }
 
+    @Test
+    public void readsEvacuationsAndTheirEnd() throws InterruptedException {
+        mStore.put("op/evacuate/west", "{}");
+        awaitEvacuation(Set.of("west"));
+        mStore.put("op/evacuate/east", "{]");
+        awaitEvacuation(Set.of("west", "east"));
+        mStore.delete("op/evacuate/west");
+        awaitEvacuation(Set.of("east"));
+    }
+
+    @Test
+    public void ignoresARequestWithoutADataCentre() throws InterruptedException {
+        mStore.put("op/evacuate/", "{}");
+        mStore.put("op/evacuate/west", "{}");
+        awaitEvacuation(Set.of("west"));
+    }
+
+    /** The end of an evacuation may fall into a part of the history that is compacted. */
+    @Test
+    public void readsTheEndOfAnEvacuationAfterACompaction() throws InterruptedException {
+        mStore.put("op/evacuate/west", "{}");
+        awaitEvacuation(Set.of("west"));
+        mStore.setFault(KvStandIn.Fault.REJECTING);
+        Thread.sleep(WATCH_MILLIS);
+        mStore.delete("op/evacuate/west");
+        mStore.compactHistory();
+        mStore.setFault(KvStandIn.Fault.NONE);
+        awaitEvacuation(Set.of());
+    }
+
+    private void awaitEvacuation(Set<String> dataCentres) throws InterruptedException {
+        Evacuation read = Evacuation.NONE;
+        while (!read.dataCentres().equals(dataCentres) || read.revision() == 0) {
+            read = mEvacuations.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(read != null, "not read: " + dataCentres);
+        }
+    }
+
     /** Replaces, removes or inserts a few characters of JSON syntax. */
     private static String mutate(String text, Random random) {
         List<String> pieces =
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -22,6 +22,7 @@
 import org.jackdawsaddle.internal.wire.MessageCounts;
 import org.jackdawsaddle.internal.wire.WireControlLoop;
 import org.jackdawsaddle.internal.wire.WireThreads;
+import org.jackdawsaddle.pool.Evacuation;
 import org.jackdawsaddle.pool.PoolAnswer;
 import org.jackdawsaddle.pool.PoolConfiguration;
 import org.jackdawsaddle.pool.PoolEntryConfig;
@@ -72,6 +73,7 @@
     private volatile long mConfiguredAt;
 
     private volatile PoolConfiguration mConfiguration = PoolConfiguration.NONE;
+    private volatile Evacuation mEvacuation = Evacuation.NONE;
 
     /** Creates an entry; it runs after {@link #start}. */
     public PoolEntryService(PoolEntryConfig config, UnixClock clock) {
@@ -175,6 +177,11 @@
         post(new PoolEntryEvent.ConfigurationRead(configuration));
     }
 
+    /** Puts an evacuation of data centres in force, unless a newer one already is. */
+    public void apply(Evacuation evacuation) {
+        post(new PoolEntryEvent.EvacuationRead(evacuation));
+    }
+
     /** Returns the configuration in force. */
     public PoolConfiguration configuration() {
         return mConfiguration;
@@ -219,6 +226,14 @@
                 "jackdawsaddle_configuration_age_seconds",
                 "Since the version in force was applied",
                 () -> (mClock.now() - mConfiguredAt) / MILLIS_PER_SECOND);
+        metrics.gauge(
+                "jackdawsaddle_evacuation_revision",
+                "The revision of the evacuation in force; 0 if none is known",
+                () -> mEvacuation.revision());
+        metrics.gauge(
+                "jackdawsaddle_evacuated_data_centres",
+                "The number of evacuated data centres",
+                () -> mEvacuation.dataCentres().size());
         metrics.gauge(
                 "jackdawsaddle_oldest_view_seconds",
                 "Since the least lately heard of all connected sidecars was heard",
@@ -247,6 +262,7 @@
             mConfiguration = mCore.configuration();
             mConfiguredAt = mClock.now();
         }
+        mEvacuation = mCore.evacuation();
         mReady = mCore.ready();
         mIdle = mCore.idle();
         mCore.actions().forEach(action -> ControlLoop.runSafely(() -> perform(action)));
@@ -295,8 +311,8 @@
         }
 
         @Override
-        public long configurationVersion() {
-            return mCore.configuration().version();
+        public PoolMessage.Ping heartbeat() {
+            return mCore.peerHeartbeat();
         }
 
         @Override
@@ -311,7 +327,10 @@
             mDialer.send(
                     entry,
                     new PoolMessage.PeerHello(
-                            mSelf, mConfig.address(), mCore.configuration().version()));
+                            mSelf,
+                            mConfig.address(),
+                            mCore.configuration().version(),
+                            mCore.evacuation().revision()));
             handle(new PoolEntryEvent.PeerConnected(entry));
         }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -52,6 +52,7 @@
     private final WireThreads mThreads;
     private final PoolDialer mDialer;
     private volatile boolean mServing;
+    private volatile boolean mEvacuated;
     private volatile boolean mIdle = true;
 
     /**
@@ -144,6 +145,10 @@
         mCounts.addTo(metrics);
         mStartTimes.addTo(metrics);
         metrics.gauge("jackdawsaddle_serving", "1 if serving", () -> mServing ? 1 : 0);
+        metrics.gauge(
+                "jackdawsaddle_evacuated",
+                "1 if the data centre is evacuated",
+                () -> mEvacuated ? 1 : 0);
     }
 
     private void post(PoolSidecarEvent event) {
@@ -162,6 +167,7 @@
         mCore.actions().forEach(action -> ControlLoop.runSafely(() -> perform(action)));
         mDialer.flush();
         mServing = mCore.serving();
+        mEvacuated = mCore.evacuated();
         mIdle = mCore.idle();
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -78,6 +78,12 @@
     ENTRY_FOUND(20),
     /** A new configuration is in force. */
     CONFIGURATION_APPLIED(10),
+    /** Other data centres are evacuated than before. */
+    EVACUATION_APPLIED(10),
+    /** A data centre is to be evacuated of which no sidecar is connected. */
+    DATA_CENTRE_UNKNOWN(10),
+    /** A sidecar accepts no tasks, or accepts them again, for an evacuation of its data centre. */
+    SIDECAR_EVACUATED(10),
     /** An external input could not be parsed, or cannot be true, and was ignored. */
     INPUT_UNREADABLE(10),
     /** The store is unreachable. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
+import org.jackdawsaddle.pool.Evacuation;
 
 /**
  * A message between two processes of a pool, an entry and a sidecar or two entries. Every entry
@@ -93,6 +94,7 @@
      * @param capacity the resources of the target
      * @param labels the labels of the target
      * @param configurationVersion the version of the configuration in force at the sidecar
+     * @param evacuationRevision the revision of the evacuation in force at the sidecar
      */
     record Hello(
             NodeId sidecar,
@@ -101,7 +103,8 @@
             String service,
             Demand capacity,
             List<String> labels,
-            long configurationVersion)
+            long configurationVersion,
+            long evacuationRevision)
             implements PoolMessage {}
 
     /**
@@ -172,8 +175,10 @@
      * @param configurationVersion the version of the configuration in force at the sender
      * @param watching whether the sender asks the receiving sidecar to report changes of its free
      *     capacity at once, until a ping says otherwise; false between entries
+     * @param evacuationRevision the revision of the evacuation in force at the sender
      */
-    record Ping(long configurationVersion, boolean watching) implements PoolMessage {}
+    record Ping(long configurationVersion, boolean watching, long evacuationRevision)
+            implements PoolMessage {}
 
     /**
      * Identifies an entry to another one; its first message on a connection.
@@ -181,8 +186,10 @@
      * @param entry the sending process
      * @param address the address at which the sender accepts connections, as host:port
      * @param configurationVersion the version of the configuration in force at the sender
+     * @param evacuationRevision the revision of the evacuation in force at the sender
      */
-    record PeerHello(NodeId entry, String address, long configurationVersion)
+    record PeerHello(
+            NodeId entry, String address, long configurationVersion, long evacuationRevision)
             implements PoolMessage {}
 
     /**
@@ -199,4 +206,7 @@
      * @param text the configuration, in JSON
      */
     record ConfigurationPush(long version, String text) implements PoolMessage {}
+
+    /** Sends the evacuated data centres to a process that has reported an older revision. */
+    record EvacuationPush(Evacuation evacuation) implements PoolMessage {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -117,6 +117,9 @@
             case PoolMessage.ConfigurationPush push ->
                     onConfiguration(
                             Json.read(push.text(), PoolConfiguration.class), peer.toString());
+            case PoolMessage.EvacuationPush push -> {
+                // EvacuationController handles it.
+            }
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from an entry: " + message);
@@ -143,10 +146,16 @@
     }
 
     private void ping(NodeId peer) {
-        send(peer, new PoolMessage.Ping(mState.mConfiguration.version(), false));
+        send(peer, mState.heartbeat(false));
+    }
+
+    /** Sends a message to every other entry that is connected. */
+    void sendToAll(PoolMessage message) {
+        mPeers.keySet().forEach(peer -> send(peer, message));
     }
 
-    private void send(NodeId peer, PoolMessage message) {
+    /** Sends a message to another entry; drops it if that is not connected. */
+    void send(NodeId peer, PoolMessage message) {
         PeerView view = mPeers.get(peer);
         if (view != null) {
             view.mLastSentAt = mState.mNow;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -5,6 +5,7 @@
 import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.target.SpeedModel;
+import org.jackdawsaddle.pool.Evacuation;
 import org.jackdawsaddle.pool.PoolConfiguration;
 
 /**
@@ -20,6 +21,7 @@
     private final JobController mJobs;
     private final SidecarController mSidecars;
     private final PeerController mPeers;
+    private final EvacuationController mEvacuations;
     private final WatchController mWatches;
 
     /**
@@ -39,6 +41,7 @@
                         mState, placement, new PoolAdmission(mState, placement), resendMillis);
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
         mPeers = new PeerController(mState);
+        mEvacuations = new EvacuationController(mState, mPeers);
         mWatches = new WatchController(mState, placement, name);
     }
 
@@ -56,15 +59,23 @@
             case PoolEntryEvent.JobCancelled cancelled -> mJobs.cancel(cancelled.id());
             case PoolEntryEvent.ConfigurationRead read ->
                     mPeers.onConfiguration(read.configuration(), "the store");
-            case PoolEntryEvent.SidecarAnnounced announced ->
-                    mSidecars.onAnnounced(announced.hello());
+            case PoolEntryEvent.EvacuationRead read -> mEvacuations.onRead(read.evacuation());
+            case PoolEntryEvent.SidecarAnnounced announced -> {
+                mSidecars.onAnnounced(announced.hello());
+                mEvacuations.onAnnounced(announced.hello());
+            }
             case PoolEntryEvent.SidecarLost lost -> mSidecars.onLost(lost.sidecar());
             case PoolEntryEvent.SidecarSent sent -> onSidecarSent(sent.sidecar(), sent.message());
             case PoolEntryEvent.PeerConnected connected -> mPeers.onConnected(connected.peer());
             case PoolEntryEvent.PeerLost lost -> mPeers.onLost(lost.peer());
-            case PoolEntryEvent.PeerAnswered answered ->
-                    mPeers.onAnswered(answered.peer(), answered.message());
-            case PoolEntryEvent.PeerSent sent -> mPeers.onReceived(sent.peer(), sent.message());
+            case PoolEntryEvent.PeerAnswered answered -> {
+                mPeers.onAnswered(answered.peer(), answered.message());
+                exchangeEvacuation(answered.peer(), answered.message());
+            }
+            case PoolEntryEvent.PeerSent sent -> {
+                mPeers.onReceived(sent.peer(), sent.message());
+                exchangeEvacuation(sent.peer(), sent.message());
+            }
             case PoolEntryEvent.Tick tick -> {
                 mSidecars.onTick();
                 mPeers.onTick();
@@ -144,6 +155,16 @@
         return mState.mConfiguration;
     }
 
+    /** Returns the evacuation in force. */
+    public Evacuation evacuation() {
+        return mState.mEvacuation.current();
+    }
+
+    /** Returns a heartbeat to another entry. */
+    public PoolMessage.Ping peerHeartbeat() {
+        return mState.heartbeat(false);
+    }
+
     /** Returns the number of jobs of a queue of which no task has been placed on a sidecar. */
     public long pendingJobs(String queue) {
         return mState.mJobs.values().stream()
@@ -153,11 +174,25 @@
     }
 
     private void onSidecarSent(NodeId sidecar, PoolMessage message) {
-        if (message instanceof PoolMessage.ConfigurationPush push) {
-            mPeers.onConfiguration(
-                    Json.read(push.text(), PoolConfiguration.class), sidecar.toString());
-        } else {
-            mSidecars.onReceived(sidecar, message);
+        switch (message) {
+            case PoolMessage.ConfigurationPush push ->
+                    mPeers.onConfiguration(
+                            Json.read(push.text(), PoolConfiguration.class), sidecar.toString());
+            case PoolMessage.EvacuationPush push -> mEvacuations.onReceived(push, sidecar);
+            default -> mSidecars.onReceived(sidecar, message);
+        }
+    }
+
+    private void exchangeEvacuation(NodeId peer, PoolMessage message) {
+        switch (message) {
+            case PoolMessage.Ping ping ->
+                    mEvacuations.onPeerRevision(peer, ping.evacuationRevision());
+            case PoolMessage.PeerHello hello ->
+                    mEvacuations.onPeerRevision(peer, hello.evacuationRevision());
+            case PoolMessage.EvacuationPush push -> mEvacuations.onReceived(push, peer);
+            default -> {
+                // Tells nothing of evacuations.
+            }
         }
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -45,7 +45,9 @@
     /** Connections to sidecars that were lost or timed out. */
     SIDECARS_LOST,
     /** Configurations put in force. */
-    CONFIGURATIONS_APPLIED;
+    CONFIGURATIONS_APPLIED,
+    /** Changes of the evacuated data centres put in force. */
+    EVACUATIONS_APPLIED;
 
     /** Returns the name of the metric, without the prefix {@code jackdawsaddle_entry_}. */
     public String metricName() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -2,6 +2,7 @@
 
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
+import org.jackdawsaddle.pool.Evacuation;
 import org.jackdawsaddle.pool.PoolConfiguration;
 import org.jackdawsaddle.pool.PoolJob;
 
@@ -19,6 +20,9 @@
     /** A configuration was read from the store. */
     record ConfigurationRead(PoolConfiguration configuration) implements PoolEntryEvent {}
 
+    /** The operator's evacuation of data centres was read from the store. */
+    record EvacuationRead(Evacuation evacuation) implements PoolEntryEvent {}
+
     /** A sidecar has sent its first message on a connection, or its target has changed. */
     record SidecarAnnounced(PoolMessage.Hello hello) implements PoolEntryEvent {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -11,6 +11,7 @@
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
+import org.jackdawsaddle.internal.pool.evacuation.EvacuationState;
 import org.jackdawsaddle.internal.pool.quarantine.Quarantine;
 import org.jackdawsaddle.pool.PoolConfiguration;
 
@@ -60,6 +61,7 @@
     /** When the next tick is due, in milliseconds since the epoch; 0 for at once. */
     long mNextTickAt;
 
+    final EvacuationState mEvacuation = new EvacuationState();
     final ProcessTimeline mTimeline = new ProcessTimeline();
     final Quarantine mQuarantine = new Quarantine();
     final TaskDurations mDurations = new TaskDurations();
@@ -84,7 +86,13 @@
 
     /** Sends a heartbeat to a sidecar. */
     void ping(SidecarView sidecar) {
-        send(sidecar, new PoolMessage.Ping(mConfiguration.version(), sidecar.watched()));
+        send(sidecar, heartbeat(sidecar.watched()));
+    }
+
+    /** Returns a heartbeat with what this entry knows. */
+    PoolMessage.Ping heartbeat(boolean watching) {
+        return new PoolMessage.Ping(
+                mConfiguration.version(), watching, mEvacuation.current().revision());
     }
 
     /** Requests that a message be sent to a sidecar; drops it if the sidecar is not connected. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -80,7 +80,7 @@
      * run ordered by one of its earlier incarnations is left, so those are forgotten then.
      */
     private void onRoom(SidecarView sidecar, PoolMessage.Room room) {
-        boolean startsServing = room.serving() && !sidecar.serving();
+        boolean startsServing = room.serving() && !sidecar.reportedServing();
         sidecar.onRoom(room);
         if (startsServing) {
             mState.mTimeline.recordSidecarServing();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -32,6 +32,9 @@
 
     boolean mConnected;
 
+    /** Whether its data centre is evacuated, so that it must get no new tasks. */
+    boolean mEvacuated;
+
     /** Whether the sidecar was asked to report changes of its free capacity at once. */
     private boolean mWatched;
 
@@ -199,10 +202,15 @@
     }
 
     /** Returns whether the sidecar is connected and has reported that it accepts new tasks. */
-    boolean serving() {
+    boolean reportedServing() {
         return mConnected && mServing;
     }
 
+    /** Returns whether the sidecar accepts new tasks and its data centre is not evacuated. */
+    boolean serving() {
+        return reportedServing() && !mEvacuated;
+    }
+
     /**
      * Returns whether the sidecar may get a new task now: it serves, has sent a message lately, and
      * neither its backoff nor the probation of its target forbids it.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
@@ -50,10 +50,10 @@
         void peerSent(NodeId peer, PoolMessage message);
 
         /**
-         * Returns the version of the configuration in force, which is sent as a ping in reply to
-         * each message of another entry except its first.
+         * Returns the heartbeat that is sent in reply to each message of another entry except its
+         * first.
          */
-        long configurationVersion();
+        PoolMessage.Ping heartbeat();
     }
 
     private final NodeId mSelf;
@@ -146,8 +146,7 @@
         if (sidecar.isPresent()) {
             mListener.sidecarSent(sidecar.get(), message);
         } else if (peer != null) {
-            mSidecarChannels.write(
-                    channel, new PoolMessage.Ping(mListener.configurationVersion(), false));
+            mSidecarChannels.write(channel, mListener.heartbeat());
             mListener.peerSent(peer, message);
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -35,9 +35,7 @@
     private final CrashedTasks mCrashedTasks = new CrashedTasks();
     private final KnownTarget mKnownTarget = new KnownTarget();
 
-    /** The newest configuration received; passed on to entries that have an older one. */
-    private Optional<PoolMessage.ConfigurationPush> mConfigurationPush = Optional.empty();
-
+    private final RelayedState mRelayed = new RelayedState();
     private final SavedTarget mSavedTarget = new SavedTarget();
 
     private boolean mLeaving;
@@ -119,13 +117,19 @@
     /**
      * Returns whether the sidecar accepts new tasks: the target is announced, responsive and not
      * leaving, the latest snapshot of its incarnation lists no run that this sidecar does not hold,
-     * and the sidecar is not about to stop.
+     * the sidecar is not about to stop, and its data centre is not evacuated.
      */
     public boolean serving() {
         return mKnownTarget.available(mNow)
                 && mRuns.reconciled()
                 && mRuns.responsive()
-                && !mLeaving;
+                && !mLeaving
+                && !evacuated();
+    }
+
+    /** Returns whether the target gets no new tasks as its data centre is evacuated. */
+    public boolean evacuated() {
+        return mRelayed.evacuated(mDataCentre);
     }
 
     /** Returns whether no run is left and a poll that acknowledges all ended runs was sent. */
@@ -245,15 +249,12 @@
                                     target.service(),
                                     target.capacity(),
                                     target.labels(),
-                                    configurationVersion())));
+                                    mRelayed.configurationVersion(),
+                                    mRelayed.evacuationRevision())));
             view.requestRoom();
         }
     }
 
-    private long configurationVersion() {
-        return mConfigurationPush.map(PoolMessage.ConfigurationPush::version).orElse(0L);
-    }
-
     private void onEntrySent(NodeId entry, PoolMessage message) {
         mEntries.findConnected(entry).ifPresent(view -> onEntrySent(entry, view, message));
     }
@@ -265,7 +266,8 @@
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
             case PoolMessage.Resume resume -> onResume(entry, resume.runs());
             case PoolMessage.Ping ping -> onPing(entry, view, ping);
-            case PoolMessage.ConfigurationPush push -> onConfiguration(push);
+            case PoolMessage.ConfigurationPush push -> mRelayed.onConfiguration(push);
+            case PoolMessage.EvacuationPush push -> onEvacuation(entry, push);
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from an entry: " + message);
@@ -280,15 +282,23 @@
 
     private void onPing(NodeId entry, EntryView view, PoolMessage.Ping ping) {
         view.onPing(ping, mNow);
-        if (mConfigurationPush.isPresent()
-                && ping.configurationVersion() < configurationVersion()) {
-            mActions.add(new PoolSidecarAction.SendToEntry(entry, mConfigurationPush.get()));
-        }
+        mRelayed.newerThan(ping)
+                .forEach(push -> mActions.add(new PoolSidecarAction.SendToEntry(entry, push)));
     }
 
-    private void onConfiguration(PoolMessage.ConfigurationPush push) {
-        if (push.version() > configurationVersion()) {
-            mConfigurationPush = Optional.of(push);
+    /**
+     * Takes over a newer evacuation; the next updates tell all entries if that changes anything.
+     */
+    private void onEvacuation(NodeId entry, PoolMessage.EvacuationPush push) {
+        boolean before = evacuated();
+        mRelayed.onEvacuation(push);
+        if (evacuated() != before) {
+            EventLog.line(Event.SIDECAR_EVACUATED)
+                    .with("evacuated", evacuated())
+                    .with("revision", push.evacuation().revision())
+                    .with("source", entry)
+                    .with("runs", mRuns.held().runs().size())
+                    .write();
         }
     }
 
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
@@ -0,0 +1,53 @@
+package org.jackdawsaddle.internal.pool.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jackdawsaddle.internal.message.PoolMessage;
+import org.jackdawsaddle.internal.pool.evacuation.EvacuationState;
+
+/**
+ * The newest configuration and evacuation that entries have sent to a sidecar, which passes them on
+ * to entries that have older ones: those may have started while the store is unavailable.
+ */
+final class RelayedState {
+    private final EvacuationState mEvacuation = new EvacuationState();
+    private Optional<PoolMessage.ConfigurationPush> mConfiguration = Optional.empty();
+
+    void onConfiguration(PoolMessage.ConfigurationPush push) {
+        if (push.version() > configurationVersion()) {
+            mConfiguration = Optional.of(push);
+        }
+    }
+
+    void onEvacuation(PoolMessage.EvacuationPush push) {
+        mEvacuation.onReceived(push.evacuation());
+    }
+
+    /** Returns the version of the configuration; 0 if there is none. */
+    long configurationVersion() {
+        return mConfiguration.map(PoolMessage.ConfigurationPush::version).orElse(0L);
+    }
+
+    /** Returns the revision of the evacuation; 0 if there is none. */
+    long evacuationRevision() {
+        return mEvacuation.current().revision();
+    }
+
+    /** Returns whether the targets of a data centre must get no new tasks. */
+    boolean evacuated(String dataCentre) {
+        return mEvacuation.current().includes(dataCentre);
+    }
+
+    /** Returns what the sender of a heartbeat has not got yet. */
+    List<PoolMessage> newerThan(PoolMessage.Ping ping) {
+        List<PoolMessage> newer = new ArrayList<>();
+        mConfiguration
+                .filter(push -> ping.configurationVersion() < push.version())
+                .ifPresent(newer::add);
+        if (mEvacuation.outdated(ping.evacuationRevision())) {
+            newer.add(new PoolMessage.EvacuationPush(mEvacuation.current()));
+        }
+        return newer;
+    }
+}
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -1,8 +1,10 @@
 package org.jackdawsaddle.internal.wire;
 
 import java.util.List;
+import java.util.Set;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ConfigurationPush;
+import org.jackdawsaddle.internal.message.PoolMessage.EvacuationPush;
 import org.jackdawsaddle.internal.message.PoolMessage.Hello;
 import org.jackdawsaddle.internal.message.PoolMessage.Members;
 import org.jackdawsaddle.internal.message.PoolMessage.PeerHello;
@@ -18,6 +20,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.Welcome;
 import org.jackdawsaddle.internal.wire.proto.Wire;
 import org.jackdawsaddle.internal.wire.proto.Wire.Envelope;
+import org.jackdawsaddle.pool.Evacuation;
 
 /** Encodes and decodes the messages of a pool, between all kinds of processes. */
 final class PoolMessageCodec {
@@ -36,7 +39,8 @@
                             .setService(hello.service())
                             .setCapacity(WireCodec.encode(hello.capacity()))
                             .addAllLabels(hello.labels())
-                            .setConfigurationVersion(hello.configurationVersion());
+                            .setConfigurationVersion(hello.configurationVersion())
+                            .setEvacuationRevision(hello.evacuationRevision());
             case Room room ->
                     envelope.getPoolRoomBuilder()
                             .setFree(WireCodec.encode(room.free()))
@@ -64,18 +68,24 @@
             case Ping ping ->
                     envelope.getPoolPingBuilder()
                             .setConfigurationVersion(ping.configurationVersion())
-                            .setWatching(ping.watching());
+                            .setWatching(ping.watching())
+                            .setEvacuationRevision(ping.evacuationRevision());
             case PeerHello hello ->
                     envelope.getPoolPeerHelloBuilder()
                             .setEntry(WireCodec.encode(hello.entry()))
                             .setAddress(hello.address())
-                            .setConfigurationVersion(hello.configurationVersion());
+                            .setConfigurationVersion(hello.configurationVersion())
+                            .setEvacuationRevision(hello.evacuationRevision());
             case Members members ->
                     envelope.getPoolMembersBuilder().addAllAddresses(members.addresses());
             case ConfigurationPush push ->
                     envelope.getPoolConfigurationPushBuilder()
                             .setVersion(push.version())
                             .setText(push.text());
+            case EvacuationPush push ->
+                    envelope.getPoolEvacuationPushBuilder()
+                            .setRevision(push.evacuation().revision())
+                            .addAllDataCentres(push.evacuation().dataCentres());
         }
     }
 
@@ -102,18 +112,21 @@
             case POOL_PING ->
                     new Ping(
                             envelope.getPoolPing().getConfigurationVersion(),
-                            envelope.getPoolPing().getWatching());
+                            envelope.getPoolPing().getWatching(),
+                            envelope.getPoolPing().getEvacuationRevision());
             case POOL_PEER_HELLO ->
                     new PeerHello(
                             WireCodec.decode(envelope.getPoolPeerHello().getEntry()),
                             envelope.getPoolPeerHello().getAddress(),
-                            envelope.getPoolPeerHello().getConfigurationVersion());
+                            envelope.getPoolPeerHello().getConfigurationVersion(),
+                            envelope.getPoolPeerHello().getEvacuationRevision());
             case POOL_MEMBERS ->
                     new Members(List.copyOf(envelope.getPoolMembers().getAddressesList()));
             case POOL_CONFIGURATION_PUSH ->
                     new ConfigurationPush(
                             envelope.getPoolConfigurationPush().getVersion(),
                             envelope.getPoolConfigurationPush().getText());
+            case POOL_EVACUATION_PUSH -> decode(envelope.getPoolEvacuationPush());
             default -> throw new IllegalArgumentException("Envelope contains no pool message");
         };
     }
@@ -126,7 +139,13 @@
                 hello.getService(),
                 WireCodec.decode(hello.getCapacity()),
                 List.copyOf(hello.getLabelsList()),
-                hello.getConfigurationVersion());
+                hello.getConfigurationVersion(),
+                hello.getEvacuationRevision());
+    }
+
+    private static EvacuationPush decode(Wire.PoolEvacuationPush push) {
+        return new EvacuationPush(
+                new Evacuation(push.getRevision(), Set.copyOf(push.getDataCentresList())));
     }
 
     private static Room decode(Wire.PoolRoom room) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
@@ -73,7 +73,8 @@
                     POOL_PING,
                     POOL_PEER_HELLO,
                     POOL_MEMBERS,
-                    POOL_CONFIGURATION_PUSH ->
+                    POOL_CONFIGURATION_PUSH,
+                    POOL_EVACUATION_PUSH ->
                     PoolMessageCodec.decode(envelope);
             case BODY_NOT_SET ->
                     throw new IllegalArgumentException("Envelope contains no known message");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -555,6 +555,21 @@
      */
     org.jackdawsaddle.internal.wire.proto.Wire.PoolConfigurationPushOrBuilder getPoolConfigurationPushOrBuilder();
 
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     * @return Whether the poolEvacuationPush field is set.
+     */
+    boolean hasPoolEvacuationPush();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     * @return The poolEvacuationPush.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getPoolEvacuationPush();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder getPoolEvacuationPushOrBuilder();
+
     org.jackdawsaddle.internal.wire.proto.Wire.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -640,6 +655,7 @@
       POOL_PEER_HELLO(34),
       POOL_MEMBERS(35),
       POOL_CONFIGURATION_PUSH(36),
+      POOL_EVACUATION_PUSH(37),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -692,6 +708,7 @@
           case 34: return POOL_PEER_HELLO;
           case 35: return POOL_MEMBERS;
           case 36: return POOL_CONFIGURATION_PUSH;
+          case 37: return POOL_EVACUATION_PUSH;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1792,6 +1809,37 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.PoolConfigurationPush.getDefaultInstance();
     }
 
+    public static final int POOL_EVACUATION_PUSH_FIELD_NUMBER = 37;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     * @return Whether the poolEvacuationPush field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolEvacuationPush() {
+      return bodyCase_ == 37;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     * @return The poolEvacuationPush.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getPoolEvacuationPush() {
+      if (bodyCase_ == 37) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder getPoolEvacuationPushOrBuilder() {
+      if (bodyCase_ == 37) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1911,6 +1959,9 @@
       if (bodyCase_ == 36) {
         output.writeMessage(36, (org.jackdawsaddle.internal.wire.proto.Wire.PoolConfigurationPush) body_);
       }
+      if (bodyCase_ == 37) {
+        output.writeMessage(37, (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2059,6 +2110,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(36, (org.jackdawsaddle.internal.wire.proto.Wire.PoolConfigurationPush) body_);
       }
+      if (bodyCase_ == 37) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(37, (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2226,6 +2281,10 @@
           if (!getPoolConfigurationPush()
               .equals(other.getPoolConfigurationPush())) return false;
           break;
+        case 37:
+          if (!getPoolEvacuationPush()
+              .equals(other.getPoolEvacuationPush())) return false;
+          break;
         case 0:
         default:
       }
@@ -2381,6 +2440,10 @@
           hash = (37 * hash) + POOL_CONFIGURATION_PUSH_FIELD_NUMBER;
           hash = (53 * hash) + getPoolConfigurationPush().hashCode();
           break;
+        case 37:
+          hash = (37 * hash) + POOL_EVACUATION_PUSH_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolEvacuationPush().hashCode();
+          break;
         case 0:
         default:
       }
@@ -2621,6 +2684,9 @@
         if (poolConfigurationPushBuilder_ != null) {
           poolConfigurationPushBuilder_.clear();
         }
+        if (poolEvacuationPushBuilder_ != null) {
+          poolEvacuationPushBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -2807,6 +2873,10 @@
             poolConfigurationPushBuilder_ != null) {
           result.body_ = poolConfigurationPushBuilder_.build();
         }
+        if (bodyCase_ == 37 &&
+            poolEvacuationPushBuilder_ != null) {
+          result.body_ = poolEvacuationPushBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -2962,6 +3032,10 @@
             mergePoolConfigurationPush(other.getPoolConfigurationPush());
             break;
           }
+          case POOL_EVACUATION_PUSH: {
+            mergePoolEvacuationPush(other.getPoolEvacuationPush());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3235,6 +3309,13 @@
                 bodyCase_ = 36;
                 break;
               } // case 290
+              case 298: {
+                input.readMessage(
+                    internalGetPoolEvacuationPushFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 37;
+                break;
+              } // case 298
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8168,6 +8249,146 @@
         return poolConfigurationPushBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder> poolEvacuationPushBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       * @return Whether the poolEvacuationPush field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolEvacuationPush() {
+        return bodyCase_ == 37;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       * @return The poolEvacuationPush.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getPoolEvacuationPush() {
+        if (poolEvacuationPushBuilder_ == null) {
+          if (bodyCase_ == 37) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 37) {
+            return poolEvacuationPushBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      public Builder setPoolEvacuationPush(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush value) {
+        if (poolEvacuationPushBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolEvacuationPushBuilder_.setMessage(value);
+        }
+        bodyCase_ = 37;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      public Builder setPoolEvacuationPush(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder builderForValue) {
+        if (poolEvacuationPushBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolEvacuationPushBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 37;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      public Builder mergePoolEvacuationPush(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush value) {
+        if (poolEvacuationPushBuilder_ == null) {
+          if (bodyCase_ == 37 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 37) {
+            poolEvacuationPushBuilder_.mergeFrom(value);
+          } else {
+            poolEvacuationPushBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 37;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      public Builder clearPoolEvacuationPush() {
+        if (poolEvacuationPushBuilder_ == null) {
+          if (bodyCase_ == 37) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 37) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolEvacuationPushBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder getPoolEvacuationPushBuilder() {
+        return internalGetPoolEvacuationPushFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder getPoolEvacuationPushOrBuilder() {
+        if ((bodyCase_ == 37) && (poolEvacuationPushBuilder_ != null)) {
+          return poolEvacuationPushBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 37) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolEvacuationPush pool_evacuation_push = 37;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder> 
+          internalGetPoolEvacuationPushFieldBuilder() {
+        if (poolEvacuationPushBuilder_ == null) {
+          if (!(bodyCase_ == 37)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+          }
+          poolEvacuationPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 37;
+        onChanged();
+        return poolEvacuationPushBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Envelope)
     }
 
@@ -32584,6 +32805,12 @@
      * @return The configurationVersion.
      */
     long getConfigurationVersion();
+
+    /**
+     * <code>uint64 evacuation_revision = 8;</code>
+     * @return The evacuationRevision.
+     */
+    long getEvacuationRevision();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolHello}
@@ -32850,6 +33077,17 @@
       return configurationVersion_;
     }
 
+    public static final int EVACUATION_REVISION_FIELD_NUMBER = 8;
+    private long evacuationRevision_ = 0L;
+    /**
+     * <code>uint64 evacuation_revision = 8;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -32885,6 +33123,9 @@
       if (configurationVersion_ != 0L) {
         output.writeUInt64(7, configurationVersion_);
       }
+      if (evacuationRevision_ != 0L) {
+        output.writeUInt64(8, evacuationRevision_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -32918,6 +33159,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(7, configurationVersion_);
       }
+      if (evacuationRevision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, evacuationRevision_);
+      }
       return size;
     }
     @java.lang.Override
@@ -32962,6 +33207,8 @@
           .equals(other.getLabelsList())) return false;
       if (getConfigurationVersion()
           != other.getConfigurationVersion()) return false;
+      if (getEvacuationRevision()
+          != other.getEvacuationRevision()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -32994,6 +33241,9 @@
       hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getConfigurationVersion());
+      hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEvacuationRevision());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -33148,6 +33398,7 @@
         labels_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         configurationVersion_ = 0L;
+        evacuationRevision_ = 0L;
         return this;
       }
 
@@ -33210,6 +33461,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.configurationVersion_ = configurationVersion_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.evacuationRevision_ = evacuationRevision_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -33259,6 +33513,9 @@
         if (other.getConfigurationVersion() != 0L) {
           setConfigurationVersion(other.getConfigurationVersion());
         }
+        if (other.getEvacuationRevision() != 0L) {
+          setEvacuationRevision(other.getEvacuationRevision());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -33322,6 +33579,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                evacuationRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -33936,6 +34198,38 @@
         return this;
       }
 
+      private long evacuationRevision_ ;
+      /**
+       * <code>uint64 evacuation_revision = 8;</code>
+       * @return The evacuationRevision.
+       */
+      @java.lang.Override
+      public long getEvacuationRevision() {
+        return evacuationRevision_;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 8;</code>
+       * @param value The evacuationRevision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEvacuationRevision(long value) {
+
+        evacuationRevision_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEvacuationRevision() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        evacuationRevision_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolHello)
     }
 
@@ -40791,6 +41085,12 @@
      * @return The watching.
      */
     boolean getWatching();
+
+    /**
+     * <code>uint64 evacuation_revision = 3;</code>
+     * @return The evacuationRevision.
+     */
+    long getEvacuationRevision();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolPing}
@@ -40856,6 +41156,17 @@
       return watching_;
     }
 
+    public static final int EVACUATION_REVISION_FIELD_NUMBER = 3;
+    private long evacuationRevision_ = 0L;
+    /**
+     * <code>uint64 evacuation_revision = 3;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -40876,6 +41187,9 @@
       if (watching_ != false) {
         output.writeBool(2, watching_);
       }
+      if (evacuationRevision_ != 0L) {
+        output.writeUInt64(3, evacuationRevision_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -40888,6 +41202,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(2, watching_);
       }
+      if (evacuationRevision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, evacuationRevision_);
+      }
       return size;
     }
     @java.lang.Override
@@ -40916,6 +41234,8 @@
           != other.getConfigurationVersion()) return false;
       if (getWatching()
           != other.getWatching()) return false;
+      if (getEvacuationRevision()
+          != other.getEvacuationRevision()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -40933,6 +41253,9 @@
       hash = (37 * hash) + WATCHING_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getWatching());
+      hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEvacuationRevision());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -41066,6 +41389,7 @@
         bitField0_ = 0;
         configurationVersion_ = 0L;
         watching_ = false;
+        evacuationRevision_ = 0L;
         return this;
       }
 
@@ -41105,6 +41429,9 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.watching_ = watching_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.evacuationRevision_ = evacuationRevision_;
+        }
       }
 
       @java.lang.Override
@@ -41125,6 +41452,9 @@
         if (other.getWatching() != false) {
           setWatching(other.getWatching());
         }
+        if (other.getEvacuationRevision() != 0L) {
+          setEvacuationRevision(other.getEvacuationRevision());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -41159,6 +41489,11 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
+              case 24: {
+                evacuationRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -41240,6 +41575,38 @@
         return this;
       }
 
+      private long evacuationRevision_ ;
+      /**
+       * <code>uint64 evacuation_revision = 3;</code>
+       * @return The evacuationRevision.
+       */
+      @java.lang.Override
+      public long getEvacuationRevision() {
+        return evacuationRevision_;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 3;</code>
+       * @param value The evacuationRevision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEvacuationRevision(long value) {
+
+        evacuationRevision_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEvacuationRevision() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        evacuationRevision_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolPing)
     }
 
@@ -41327,6 +41694,12 @@
      * @return The configurationVersion.
      */
     long getConfigurationVersion();
+
+    /**
+     * <code>uint64 evacuation_revision = 4;</code>
+     * @return The evacuationRevision.
+     */
+    long getEvacuationRevision();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolPeerHello}
@@ -41448,6 +41821,17 @@
       return configurationVersion_;
     }
 
+    public static final int EVACUATION_REVISION_FIELD_NUMBER = 4;
+    private long evacuationRevision_ = 0L;
+    /**
+     * <code>uint64 evacuation_revision = 4;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -41471,6 +41855,9 @@
       if (configurationVersion_ != 0L) {
         output.writeUInt64(3, configurationVersion_);
       }
+      if (evacuationRevision_ != 0L) {
+        output.writeUInt64(4, evacuationRevision_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -41486,6 +41873,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, configurationVersion_);
       }
+      if (evacuationRevision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, evacuationRevision_);
+      }
       return size;
     }
     @java.lang.Override
@@ -41519,6 +41910,8 @@
           .equals(other.getAddress())) return false;
       if (getConfigurationVersion()
           != other.getConfigurationVersion()) return false;
+      if (getEvacuationRevision()
+          != other.getEvacuationRevision()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -41539,6 +41932,9 @@
       hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getConfigurationVersion());
+      hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getEvacuationRevision());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -41683,6 +42079,7 @@
         }
         address_ = "";
         configurationVersion_ = 0L;
+        evacuationRevision_ = 0L;
         return this;
       }
 
@@ -41729,6 +42126,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.configurationVersion_ = configurationVersion_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.evacuationRevision_ = evacuationRevision_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -41755,6 +42155,9 @@
         if (other.getConfigurationVersion() != 0L) {
           setConfigurationVersion(other.getConfigurationVersion());
         }
+        if (other.getEvacuationRevision() != 0L) {
+          setEvacuationRevision(other.getEvacuationRevision());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -41796,6 +42199,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                evacuationRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -42036,6 +42444,38 @@
         return this;
       }
 
+      private long evacuationRevision_ ;
+      /**
+       * <code>uint64 evacuation_revision = 4;</code>
+       * @return The evacuationRevision.
+       */
+      @java.lang.Override
+      public long getEvacuationRevision() {
+        return evacuationRevision_;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 4;</code>
+       * @param value The evacuationRevision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEvacuationRevision(long value) {
+
+        evacuationRevision_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 evacuation_revision = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEvacuationRevision() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        evacuationRevision_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolPeerHello)
     }
 
@@ -43259,6 +43699,661 @@
 
   }
 
+  public interface PoolEvacuationPushOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolEvacuationPush)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return A list containing the dataCentres.
+     */
+    java.util.List<java.lang.String>
+        getDataCentresList();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return The count of dataCentres.
+     */
+    int getDataCentresCount();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the element to return.
+     * @return The dataCentres at the given index.
+     */
+    java.lang.String getDataCentres(int index);
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the dataCentres at the given index.
+     */
+    com.google.protobuf.ByteString
+        getDataCentresBytes(int index);
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+   */
+  public static final class PoolEvacuationPush extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
+      PoolEvacuationPushOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolEvacuationPush");
+    }
+    // Use PoolEvacuationPush.newBuilder() to construct.
+    private PoolEvacuationPush(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolEvacuationPush() {
+      dataCentres_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int DATA_CENTRES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList dataCentres_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return A list containing the dataCentres.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDataCentresList() {
+      return dataCentres_;
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return The count of dataCentres.
+     */
+    public int getDataCentresCount() {
+      return dataCentres_.size();
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the element to return.
+     * @return The dataCentres at the given index.
+     */
+    public java.lang.String getDataCentres(int index) {
+      return dataCentres_.get(index);
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the dataCentres at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentresBytes(int index) {
+      return dataCentres_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      for (int i = 0; i < dataCentres_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, dataCentres_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < dataCentres_.size(); i++) {
+          dataSize += computeStringSizeNoTag(dataCentres_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getDataCentresList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (!getDataCentresList()
+          .equals(other.getDataCentresList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      if (getDataCentresCount() > 0) {
+        hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
+        hash = (53 * hash) + getDataCentresList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        dataCentres_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          dataCentres_.makeImmutable();
+          result.dataCentres_ = dataCentres_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (!other.dataCentres_.isEmpty()) {
+          if (dataCentres_.isEmpty()) {
+            dataCentres_ = other.dataCentres_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureDataCentresIsMutable();
+            dataCentres_.addAll(other.dataCentres_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                ensureDataCentresIsMutable();
+                dataCentres_.add(input.readStringRequireUtf8());
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList dataCentres_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureDataCentresIsMutable() {
+        if (!dataCentres_.isModifiable()) {
+          dataCentres_ = new com.google.protobuf.LazyStringArrayList(dataCentres_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @return A list containing the dataCentres.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getDataCentresList() {
+        dataCentres_.makeImmutable();
+        return dataCentres_;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @return The count of dataCentres.
+       */
+      public int getDataCentresCount() {
+        return dataCentres_.size();
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param index The index of the element to return.
+       * @return The dataCentres at the given index.
+       */
+      public java.lang.String getDataCentres(int index) {
+        return dataCentres_.get(index);
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the dataCentres at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentresBytes(int index) {
+        return dataCentres_.getByteString(index);
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The dataCentres to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentres(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureDataCentresIsMutable();
+        dataCentres_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param value The dataCentres to add.
+       * @return This builder for chaining.
+       */
+      public Builder addDataCentres(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureDataCentresIsMutable();
+        dataCentres_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param values The dataCentres to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllDataCentres(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureDataCentresIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, dataCentres_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentres() {
+        dataCentres_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string data_centres = 2;</code>
+       * @param value The bytes of the dataCentres to add.
+       * @return This builder for chaining.
+       */
+      public Builder addDataCentresBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureDataCentresIsMutable();
+        dataCentres_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolEvacuationPush)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolEvacuationPush)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolEvacuationPush>
+        PARSER = new com.google.protobuf.AbstractParser<PoolEvacuationPush>() {
+      @java.lang.Override
+      public PoolEvacuationPush parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolEvacuationPush> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolEvacuationPush> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_Envelope_descriptor;
   private static final 
@@ -43499,6 +44594,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -43508,7 +44608,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\316\020\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\232\021\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -43561,108 +44661,114 @@
       "oolPeerHelloH\000\022;\n\014pool_members\030# \001(\0132#.o" +
       "rg.jackdawsaddle.wire.PoolMembersH\000\022P\n\027p" +
       "ool_configuration_push\030$ \001(\0132-.org.jackd" +
-      "awsaddle.wire.PoolConfigurationPushH\000B\006\n" +
-      "\004body\"+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarna" +
-      "tion\030\002 \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high\030\001" +
-      " \001(\006\022\016\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_hi" +
-      "gh\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"" +
-      "G\n\006Demand\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megab" +
-      "ytes\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014Sid" +
-      "ecarHello\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdaw" +
-      "saddle.wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007se" +
-      "rvice\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slot" +
-      "s\030\005 \001(\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capacity" +
-      "\030\007 \001(\0132\036.org.jackdawsaddle.wire.Demand\022\017" +
-      "\n\007serving\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010r" +
-      "evision\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welcom" +
-      "e\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wir" +
-      "e.NodeId\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\tSt" +
-      "artTask\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddl" +
-      "e.wire.TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payload\030" +
-      "\003 \001(\014\022\030\n\020remaining_millis\030\004 \001(\004\022.\n\006deman" +
-      "d\030\005 \001(\0132\036.org.jackdawsaddle.wire.Demand\"" +
-      "`\n\nStartTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoc" +
-      "h\030\002 \001(\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsadd" +
-      "le.wire.StartTask\"}\n\nTaskResult\022-\n\004task\030" +
-      "\001 \001(\0132\037.org.jackdawsaddle.wire.TaskKey\022\r" +
-      "\n\005state\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004" +
-      " \001(\r\022\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022" +
-      "\021\n\tpartition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".or" +
-      "g.jackdawsaddle.wire.TaskResult\"]\n\tStopT" +
-      "asks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022." +
-      "\n\005tasks\030\003 \003(\0132\037.org.jackdawsaddle.wire.T" +
-      "askKey\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epo" +
-      "ch\030\002 \001(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n" +
-      "\005epoch\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026" +
-      "\n\016newest_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tpar" +
-      "tition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLeas" +
-      "e\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007s" +
-      "ent_at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartitio" +
-      "n\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"" +
-      "w\n\007Inquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002" +
-      " \001(\004\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(" +
-      "\0132%.org.jackdawsaddle.wire.SubmissionKey" +
-      "\"e\n\rInquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006" +
-      "number\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackda" +
-      "wsaddle.wire.TaskResult\"G\n\023TargetConfigu" +
-      "ration\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(" +
-      "\010\022\r\n\005slots\030\003 \001(\r\"(\n\024ConfigurationApplied" +
-      "\022\020\n\010revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry" +
-      "\030\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\020" +
-      "\n\010revision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007paylo" +
-      "ad\030\001 \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJo" +
-      "bRequest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(" +
-      "\006\022\014\n\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaini" +
-      "ng_millis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jac" +
-      "kdawsaddle.wire.TaskRequest\"O\n\tSubmitJob" +
-      "\022\r\n\005token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.j" +
-      "ackdawsaddle.wire.JobRequest\"o\n\tJobAnswe" +
-      "r\022\017\n\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006deta" +
-      "il\030\003 \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended" +
-      "\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005" +
-      "token\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackda" +
-      "wsaddle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005to" +
-      "ken\030\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001" +
-      "(\006\022\017\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_h" +
-      "igh\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001" +
-      "(\t\"\031\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbe" +
-      "at\022\020\n\010revision\030\001 \001(\004\"3\n\021ConfigurationPus" +
-      "h\022\020\n\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013Sta" +
-      "tusQuery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022" +
-      "\r\n\005token\030\001 \001(\004\022\016\n\006status\030\002 \001(\t\"$\n\007PoolRu" +
-      "n\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\005\"\323\001\n\tPoolHel" +
-      "lo\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle." +
-      "wire.NodeId\022\023\n\013data_centre\030\002 \001(\t\022\016\n\006targ" +
-      "et\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 " +
-      "\001(\0132\036.org.jackdawsaddle.wire.Demand\022\016\n\006l" +
-      "abels\030\006 \003(\t\022\035\n\025configuration_version\030\007 \001" +
-      "(\004\"\210\001\n\010PoolRoom\022,\n\004free\030\001 \001(\0132\036.org.jack" +
-      "dawsaddle.wire.Demand\022\017\n\007serving\030\002 \001(\010\022\r" +
-      "\n\005clock\030\003 \001(\004\022\026\n\016handled_starts\030\004 \001(\004\022\026\n" +
-      "\016unsettled_jobs\030\005 \003(\t\"[\n\016PoolTaskReport\022" +
-      ",\n\003run\030\001 \001(\0132\037.org.jackdawsaddle.wire.Po" +
-      "olRun\022\014\n\004kind\030\002 \001(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017Po" +
-      "olTaskReports\0227\n\007reports\030\001 \003(\0132&.org.jac" +
-      "kdawsaddle.wire.PoolTaskReport\"O\n\013PoolWe" +
-      "lcome\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle" +
-      ".wire.NodeId\022\021\n\taddresses\030\002 \003(\t\"\215\001\n\rPool" +
-      "StartTask\022,\n\003run\030\001 \001(\0132\037.org.jackdawsadd" +
-      "le.wire.PoolRun\022\017\n\007payload\030\002 \001(\t\022.\n\006dema" +
-      "nd\030\003 \001(\0132\036.org.jackdawsaddle.wire.Demand" +
-      "\022\r\n\005queue\030\004 \001(\t\"`\n\tPoolStart\022\016\n\006number\030\001" +
-      " \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005tasks\030\003 \003(\0132%.org" +
-      ".jackdawsaddle.wire.PoolStartTask\"9\n\010Poo" +
-      "lStop\022-\n\004runs\030\001 \003(\0132\037.org.jackdawsaddle." +
-      "wire.PoolRun\";\n\nPoolResume\022-\n\004runs\030\001 \003(\013" +
-      "2\037.org.jackdawsaddle.wire.PoolRun\";\n\010Poo" +
-      "lPing\022\035\n\025configuration_version\030\001 \001(\004\022\020\n\010" +
-      "watching\030\002 \001(\010\"n\n\rPoolPeerHello\022-\n\005entry" +
-      "\030\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\017" +
-      "\n\007address\030\002 \001(\t\022\035\n\025configuration_version" +
-      "\030\003 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001 \003(\t" +
-      "\"6\n\025PoolConfigurationPush\022\017\n\007version\030\001 \001" +
-      "(\004\022\014\n\004text\030\002 \001(\tB-\n%org.jackdawsaddle.in" +
-      "ternal.wire.protoB\004Wireb\006proto3"
+      "awsaddle.wire.PoolConfigurationPushH\000\022J\n" +
+      "\024pool_evacuation_push\030% \001(\0132*.org.jackda" +
+      "wsaddle.wire.PoolEvacuationPushH\000B\006\n\004bod" +
+      "y\"+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006" +
+      "\022\016\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001" +
+      " \001(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006D" +
+      "emand\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes" +
+      "\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014Sidecar" +
+      "Hello\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsadd" +
+      "le.wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007servic" +
+      "e\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 " +
+      "\001(\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001" +
+      "(\0132\036.org.jackdawsaddle.wire.Demand\022\017\n\007se" +
+      "rving\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revis" +
+      "ion\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n" +
+      "\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire.No" +
+      "deId\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\tStartT" +
+      "ask\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.wi" +
+      "re.TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(" +
+      "\014\022\030\n\020remaining_millis\030\004 \001(\004\022.\n\006demand\030\005 " +
+      "\001(\0132\036.org.jackdawsaddle.wire.Demand\"`\n\nS" +
+      "tartTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
+      "\001(\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsaddle.w" +
+      "ire.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(" +
+      "\0132\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005st" +
+      "ate\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r" +
+      "\022\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tp" +
+      "artition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.ja" +
+      "ckdawsaddle.wire.TaskResult\"]\n\tStopTasks" +
+      "\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005ta" +
+      "sks\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskK" +
+      "ey\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002" +
+      " \001(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epo" +
+      "ch\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016ne" +
+      "west_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tpartiti" +
+      "on\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n" +
+      "\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_" +
+      "at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartition\030\001 " +
+      "\001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007I" +
+      "nquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%." +
+      "org.jackdawsaddle.wire.SubmissionKey\"e\n\r" +
+      "InquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006numb" +
+      "er\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsad" +
+      "dle.wire.TaskResult\"G\n\023TargetConfigurati" +
+      "on\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n" +
+      "\005slots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010" +
+      "revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001" +
+      "(\0132\036.org.jackdawsaddle.wire.NodeId\022\020\n\010re" +
+      "vision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001" +
+      " \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReq" +
+      "uest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n" +
+      "\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_m" +
+      "illis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdaw" +
+      "saddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005" +
+      "token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackd" +
+      "awsaddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n" +
+      "\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003" +
+      " \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001" +
+      "(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005toke" +
+      "n\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsad" +
+      "dle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030" +
+      "\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017" +
+      "\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030" +
+      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031" +
+      "\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020" +
+      "\n\010revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n" +
+      "\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQ" +
+      "uery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005t" +
+      "oken\030\001 \001(\004\022\016\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n" +
+      "\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/" +
+      "\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wire" +
+      ".NodeId\022\023\n\013data_centre\030\002 \001(\t\022\016\n\006target\030\003" +
+      " \001(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132" +
+      "\036.org.jackdawsaddle.wire.Demand\022\016\n\006label" +
+      "s\030\006 \003(\t\022\035\n\025configuration_version\030\007 \001(\004\022\033" +
+      "\n\023evacuation_revision\030\010 \001(\004\"\210\001\n\010PoolRoom" +
+      "\022,\n\004free\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
+      "Demand\022\017\n\007serving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026" +
+      "\n\016handled_starts\030\004 \001(\004\022\026\n\016unsettled_jobs" +
+      "\030\005 \003(\t\"[\n\016PoolTaskReport\022,\n\003run\030\001 \001(\0132\037." +
+      "org.jackdawsaddle.wire.PoolRun\022\014\n\004kind\030\002" +
+      " \001(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017PoolTaskReports\0227" +
+      "\n\007reports\030\001 \003(\0132&.org.jackdawsaddle.wire" +
+      ".PoolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030" +
+      "\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n" +
+      "\taddresses\030\002 \003(\t\"\215\001\n\rPoolStartTask\022,\n\003ru" +
+      "n\030\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun" +
+      "\022\017\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org." +
+      "jackdawsaddle.wire.Demand\022\r\n\005queue\030\004 \001(\t" +
+      "\"`\n\tPoolStart\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002" +
+      " \001(\004\0224\n\005tasks\030\003 \003(\0132%.org.jackdawsaddle." +
+      "wire.PoolStartTask\"9\n\010PoolStop\022-\n\004runs\030\001" +
+      " \003(\0132\037.org.jackdawsaddle.wire.PoolRun\";\n" +
+      "\nPoolResume\022-\n\004runs\030\001 \003(\0132\037.org.jackdaws" +
+      "addle.wire.PoolRun\"X\n\010PoolPing\022\035\n\025config" +
+      "uration_version\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022" +
+      "\033\n\023evacuation_revision\030\003 \001(\004\"\213\001\n\rPoolPee" +
+      "rHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddl" +
+      "e.wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025config" +
+      "uration_version\030\003 \001(\004\022\033\n\023evacuation_revi" +
+      "sion\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001" +
+      " \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007version" +
+      "\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"<\n\022PoolEvacuationPu" +
+      "sh\022\020\n\010revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003" +
+      "(\tB-\n%org.jackdawsaddle.internal.wire.pr" +
+      "otoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -43673,7 +44779,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -43883,7 +44989,7 @@
     internal_static_org_jackdawsaddle_wire_PoolHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolHello_descriptor,
-        new java.lang.String[] { "Sidecar", "DataCentre", "Target", "Service", "Capacity", "Labels", "ConfigurationVersion", });
+        new java.lang.String[] { "Sidecar", "DataCentre", "Target", "Service", "Capacity", "Labels", "ConfigurationVersion", "EvacuationRevision", });
     internal_static_org_jackdawsaddle_wire_PoolRoom_descriptor =
       getDescriptor().getMessageType(36);
     internal_static_org_jackdawsaddle_wire_PoolRoom_fieldAccessorTable = new
@@ -43937,13 +45043,13 @@
     internal_static_org_jackdawsaddle_wire_PoolPing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolPing_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Watching", });
+        new java.lang.String[] { "ConfigurationVersion", "Watching", "EvacuationRevision", });
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_descriptor =
       getDescriptor().getMessageType(45);
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolPeerHello_descriptor,
-        new java.lang.String[] { "Entry", "Address", "ConfigurationVersion", });
+        new java.lang.String[] { "Entry", "Address", "ConfigurationVersion", "EvacuationRevision", });
     internal_static_org_jackdawsaddle_wire_PoolMembers_descriptor =
       getDescriptor().getMessageType(46);
     internal_static_org_jackdawsaddle_wire_PoolMembers_fieldAccessorTable = new
@@ -43956,6 +45062,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_descriptor,
         new java.lang.String[] { "Version", "Text", });
+    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
+      getDescriptor().getMessageType(48);
+    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor,
+        new java.lang.String[] { "Revision", "DataCentres", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
