Keep the target of a sidecar when odd services are announced

Cause: an announcement of a service that the configuration doesn't name, with a later start, took the place of the target for good, also in the store.

Change: the target beside a sidecar never changes its service. An announcement of another one is logged and ignored, unless the configuration names the new service and not the known one.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
@@ -3,8 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.pool.evacuation.EvacuationState;
+import org.jackdawsaddle.pool.PoolConfiguration;
+import org.jackdawsaddle.pool.PoolQueue;
 
 /**
  * The newest configuration and evacuation that entries have sent to a sidecar, which passes them on
@@ -14,9 +19,13 @@
     private final EvacuationState mEvacuation = new EvacuationState();
     private Optional<PoolMessage.ConfigurationPush> mConfiguration = Optional.empty();
 
+    /** The services that the configuration names; empty until they are asked for. */
+    private Optional<Set<String>> mServices = Optional.empty();
+
     void onConfiguration(PoolMessage.ConfigurationPush push) {
         if (push.version() > configurationVersion()) {
             mConfiguration = Optional.of(push);
+            mServices = Optional.empty();
         }
     }
 
@@ -39,6 +48,20 @@
         return mEvacuation.current().includes(dataCentre);
     }
 
+    /** Returns whether the configuration names a service; false without a configuration. */
+    boolean namesService(String service) {
+        if (mServices.isEmpty()) {
+            mServices = mConfiguration.map(RelayedState::services);
+        }
+        return mServices.filter(services -> services.contains(service)).isPresent();
+    }
+
+    private static Set<String> services(PoolMessage.ConfigurationPush push) {
+        return Json.read(push.text(), PoolConfiguration.class).queues().stream()
+                .map(PoolQueue::service)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns what the sender of a heartbeat has not got yet. */
     List<PoolMessage> newerThan(PoolMessage.Ping ping) {
         List<PoolMessage> newer = new ArrayList<>();
