--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -222,6 +222,23 @@
         assertEquals(mCore.configuration().version(), 5);
     }
 
+    /** Regression test: a cancellation at another entry was acknowledged, and the job went on. */
+    @Test
+    public void cancelsAJobOfAnotherEntry() {
+        NodeId peer = new NodeId("peer", 1);
+        mCore.handle(new PoolEntryEvent.PeerConnected(peer), mNow);
+        collectActions();
+        mSentToPeers.clear();
+        mCore.handle(new PoolEntryEvent.JobCancelled("aa"), mNow);
+        collectActions();
+        assertEquals(mSentToPeers, List.of(new PoolMessage.JobCancellation("aa")));
+        submit("bb", 1, 4);
+        mCore.handle(
+                new PoolEntryEvent.PeerSent(peer, new PoolMessage.JobCancellation("bb")), mNow);
+        collectActions();
+        assertEquals(mOrderedStops, List.of(mOrders.get(0).run()));
+    }
+
     @Test
     public void sendsTheConfigurationToAPeerWithAnOlderOne() {
         configure(5);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
@@ -103,6 +103,7 @@
                         new PoolMessage.PeerHello(NODE, "127.0.0.1:1", 6, 7),
                         new PoolMessage.Members(List.of("127.0.0.1:1", "127.0.0.1:2")),
                         new PoolMessage.ConfigurationPush(8, "{}"),
+                        new PoolMessage.JobCancellation("j"),
                         new PoolMessage.EvacuationPush(new Evacuation(9, Set.of("a", "b"))));
         return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -166,10 +166,19 @@
     }
 
     /**
-     * Cancels a job: its callers get {@link PoolAnswer.Abandoned}. No effect if it is not active.
+     * Cancels a job, here or at another entry that is connected: its callers get {@link
+     * PoolAnswer.Abandoned}. No effect if it is not active.
+     *
+     * @return whether the job was active at this entry
      */
-    public void cancel(String id) {
-        post(new PoolEntryEvent.JobCancelled(id));
+    public CompletableFuture<Boolean> cancel(String id) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    boolean active = mCore.active(id);
+                    handle(new PoolEntryEvent.JobCancelled(id));
+                    return active;
+                },
+                mLoop::execute);
     }
 
     /** Puts a configuration in force, unless its version or a later one already is. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -207,6 +207,9 @@
      */
     record ConfigurationPush(long version, String text) implements PoolMessage {}
 
+    /** Cancels a job if the receiving entry has it; its caller has asked another entry to. */
+    record JobCancellation(String job) implements PoolMessage {}
+
     /** Sends the evacuated data centres to a process that has reported an older revision. */
     record EvacuationPush(Evacuation evacuation) implements PoolMessage {}
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -222,13 +222,15 @@
         }
     }
 
-    /** Ends a job as abandoned, if it is active. */
-    void cancel(String id) {
+    /** Ends a job as abandoned; returns false if it is not active. */
+    boolean cancel(String id) {
         ActiveJob job = mState.mJobs.get(id);
-        if (job != null) {
-            mState.count(PoolEntryCounter.JOBS_CANCELLED);
-            end(job, new PoolAnswer.Abandoned("cancelled by the caller"));
+        if (job == null) {
+            return false;
         }
+        mState.count(PoolEntryCounter.JOBS_CANCELLED);
+        end(job, new PoolAnswer.Abandoned("cancelled by the caller"));
+        return true;
     }
 
     void onTick() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -120,6 +120,9 @@
             case PoolMessage.EvacuationPush push -> {
                 // EvacuationController handles it.
             }
+            case PoolMessage.JobCancellation cancellation -> {
+                // JobController handles it.
+            }
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from an entry: " + message);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -56,7 +56,7 @@
             case PoolEntryEvent.JobSubmitted submitted ->
                     mJobs.submit(submitted.token(), submitted.job());
             case PoolEntryEvent.CallerLost lost -> mJobs.onCallerLost(lost.token());
-            case PoolEntryEvent.JobCancelled cancelled -> mJobs.cancel(cancelled.id());
+            case PoolEntryEvent.JobCancelled cancelled -> cancel(cancelled.id());
             case PoolEntryEvent.ConfigurationRead read ->
                     mPeers.onConfiguration(read.configuration(), "the store");
             case PoolEntryEvent.EvacuationRead read -> mEvacuations.onRead(read.evacuation());
@@ -70,11 +70,11 @@
             case PoolEntryEvent.PeerLost lost -> mPeers.onLost(lost.peer());
             case PoolEntryEvent.PeerAnswered answered -> {
                 mPeers.onAnswered(answered.peer(), answered.message());
-                exchangeEvacuation(answered.peer(), answered.message());
+                onPeerSent(answered.peer(), answered.message());
             }
             case PoolEntryEvent.PeerSent sent -> {
                 mPeers.onReceived(sent.peer(), sent.message());
-                exchangeEvacuation(sent.peer(), sent.message());
+                onPeerSent(sent.peer(), sent.message());
             }
             case PoolEntryEvent.Tick tick -> {
                 mSidecars.onTick();
@@ -165,6 +165,11 @@
         return mState.heartbeat(false);
     }
 
+    /** Returns whether a job is admitted and not yet answered. */
+    public boolean active(String job) {
+        return mState.mJobs.containsKey(job);
+    }
+
     /** Returns the number of jobs of a queue of which no task has been placed on a sidecar. */
     public long pendingJobs(String queue) {
         return mState.mJobs.values().stream()
@@ -183,15 +188,23 @@
         }
     }
 
-    private void exchangeEvacuation(NodeId peer, PoolMessage message) {
+    /** Cancels a job; asks the other entries to if it is not active here. */
+    private void cancel(String id) {
+        if (!mJobs.cancel(id)) {
+            mPeers.sendToAll(new PoolMessage.JobCancellation(id));
+        }
+    }
+
+    private void onPeerSent(NodeId peer, PoolMessage message) {
         switch (message) {
             case PoolMessage.Ping ping ->
                     mEvacuations.onPeerRevision(peer, ping.evacuationRevision());
             case PoolMessage.PeerHello hello ->
                     mEvacuations.onPeerRevision(peer, hello.evacuationRevision());
             case PoolMessage.EvacuationPush push -> mEvacuations.onReceived(push, peer);
+            case PoolMessage.JobCancellation cancellation -> mJobs.cancel(cancellation.job());
             default -> {
-                // Tells nothing of evacuations.
+                // PeerController has handled it.
             }
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -6,6 +6,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ConfigurationPush;
 import org.jackdawsaddle.internal.message.PoolMessage.EvacuationPush;
 import org.jackdawsaddle.internal.message.PoolMessage.Hello;
+import org.jackdawsaddle.internal.message.PoolMessage.JobCancellation;
 import org.jackdawsaddle.internal.message.PoolMessage.Members;
 import org.jackdawsaddle.internal.message.PoolMessage.PeerHello;
 import org.jackdawsaddle.internal.message.PoolMessage.Ping;
@@ -82,6 +83,8 @@
                     envelope.getPoolConfigurationPushBuilder()
                             .setVersion(push.version())
                             .setText(push.text());
+            case JobCancellation cancellation ->
+                    envelope.getPoolJobCancellationBuilder().setJob(cancellation.job());
             case EvacuationPush push ->
                     envelope.getPoolEvacuationPushBuilder()
                             .setRevision(push.evacuation().revision())
@@ -126,6 +129,8 @@
                     new ConfigurationPush(
                             envelope.getPoolConfigurationPush().getVersion(),
                             envelope.getPoolConfigurationPush().getText());
+            case POOL_JOB_CANCELLATION ->
+                    new JobCancellation(envelope.getPoolJobCancellation().getJob());
             case POOL_EVACUATION_PUSH -> decode(envelope.getPoolEvacuationPush());
             default -> throw new IllegalArgumentException("Envelope contains no pool message");
         };
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
@@ -74,7 +74,8 @@
                     POOL_PEER_HELLO,
                     POOL_MEMBERS,
                     POOL_CONFIGURATION_PUSH,
-                    POOL_EVACUATION_PUSH ->
+                    POOL_EVACUATION_PUSH,
+                    POOL_JOB_CANCELLATION ->
                     PoolMessageCodec.decode(envelope);
             case BODY_NOT_SET ->
                     throw new IllegalArgumentException("Envelope contains no known message");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -570,6 +570,21 @@
      */
     org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder getPoolEvacuationPushOrBuilder();
 
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     * @return Whether the poolJobCancellation field is set.
+     */
+    boolean hasPoolJobCancellation();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     * @return The poolJobCancellation.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getPoolJobCancellation();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder getPoolJobCancellationOrBuilder();
+
     org.jackdawsaddle.internal.wire.proto.Wire.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -656,6 +671,7 @@
       POOL_MEMBERS(35),
       POOL_CONFIGURATION_PUSH(36),
       POOL_EVACUATION_PUSH(37),
+      POOL_JOB_CANCELLATION(38),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -709,6 +725,7 @@
           case 35: return POOL_MEMBERS;
           case 36: return POOL_CONFIGURATION_PUSH;
           case 37: return POOL_EVACUATION_PUSH;
+          case 38: return POOL_JOB_CANCELLATION;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1840,6 +1857,37 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
     }
 
+    public static final int POOL_JOB_CANCELLATION_FIELD_NUMBER = 38;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     * @return Whether the poolJobCancellation field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolJobCancellation() {
+      return bodyCase_ == 38;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     * @return The poolJobCancellation.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getPoolJobCancellation() {
+      if (bodyCase_ == 38) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder getPoolJobCancellationOrBuilder() {
+      if (bodyCase_ == 38) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1962,6 +2010,9 @@
       if (bodyCase_ == 37) {
         output.writeMessage(37, (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_);
       }
+      if (bodyCase_ == 38) {
+        output.writeMessage(38, (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2114,6 +2165,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(37, (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) body_);
       }
+      if (bodyCase_ == 38) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(38, (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2285,6 +2340,10 @@
           if (!getPoolEvacuationPush()
               .equals(other.getPoolEvacuationPush())) return false;
           break;
+        case 38:
+          if (!getPoolJobCancellation()
+              .equals(other.getPoolJobCancellation())) return false;
+          break;
         case 0:
         default:
       }
@@ -2444,6 +2503,10 @@
           hash = (37 * hash) + POOL_EVACUATION_PUSH_FIELD_NUMBER;
           hash = (53 * hash) + getPoolEvacuationPush().hashCode();
           break;
+        case 38:
+          hash = (37 * hash) + POOL_JOB_CANCELLATION_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolJobCancellation().hashCode();
+          break;
         case 0:
         default:
       }
@@ -2687,6 +2750,9 @@
         if (poolEvacuationPushBuilder_ != null) {
           poolEvacuationPushBuilder_.clear();
         }
+        if (poolJobCancellationBuilder_ != null) {
+          poolJobCancellationBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -2877,6 +2943,10 @@
             poolEvacuationPushBuilder_ != null) {
           result.body_ = poolEvacuationPushBuilder_.build();
         }
+        if (bodyCase_ == 38 &&
+            poolJobCancellationBuilder_ != null) {
+          result.body_ = poolJobCancellationBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3036,6 +3106,10 @@
             mergePoolEvacuationPush(other.getPoolEvacuationPush());
             break;
           }
+          case POOL_JOB_CANCELLATION: {
+            mergePoolJobCancellation(other.getPoolJobCancellation());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3316,6 +3390,13 @@
                 bodyCase_ = 37;
                 break;
               } // case 298
+              case 306: {
+                input.readMessage(
+                    internalGetPoolJobCancellationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 38;
+                break;
+              } // case 306
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8389,6 +8470,146 @@
         return poolEvacuationPushBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder> poolJobCancellationBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       * @return Whether the poolJobCancellation field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolJobCancellation() {
+        return bodyCase_ == 38;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       * @return The poolJobCancellation.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getPoolJobCancellation() {
+        if (poolJobCancellationBuilder_ == null) {
+          if (bodyCase_ == 38) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 38) {
+            return poolJobCancellationBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      public Builder setPoolJobCancellation(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation value) {
+        if (poolJobCancellationBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolJobCancellationBuilder_.setMessage(value);
+        }
+        bodyCase_ = 38;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      public Builder setPoolJobCancellation(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder builderForValue) {
+        if (poolJobCancellationBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolJobCancellationBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 38;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      public Builder mergePoolJobCancellation(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation value) {
+        if (poolJobCancellationBuilder_ == null) {
+          if (bodyCase_ == 38 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 38) {
+            poolJobCancellationBuilder_.mergeFrom(value);
+          } else {
+            poolJobCancellationBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 38;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      public Builder clearPoolJobCancellation() {
+        if (poolJobCancellationBuilder_ == null) {
+          if (bodyCase_ == 38) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 38) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolJobCancellationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder getPoolJobCancellationBuilder() {
+        return internalGetPoolJobCancellationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder getPoolJobCancellationOrBuilder() {
+        if ((bodyCase_ == 38) && (poolJobCancellationBuilder_ != null)) {
+          return poolJobCancellationBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 38) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolJobCancellation pool_job_cancellation = 38;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder> 
+          internalGetPoolJobCancellationFieldBuilder() {
+        if (poolJobCancellationBuilder_ == null) {
+          if (!(bodyCase_ == 38)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+          }
+          poolJobCancellationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 38;
+        onChanged();
+        return poolJobCancellationBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Envelope)
     }
 
@@ -43699,6 +43920,523 @@
 
   }
 
+  public interface PoolJobCancellationOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolJobCancellation)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string job = 1;</code>
+     * @return The job.
+     */
+    java.lang.String getJob();
+    /**
+     * <code>string job = 1;</code>
+     * @return The bytes for job.
+     */
+    com.google.protobuf.ByteString
+        getJobBytes();
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+   */
+  public static final class PoolJobCancellation extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolJobCancellation)
+      PoolJobCancellationOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolJobCancellation");
+    }
+    // Use PoolJobCancellation.newBuilder() to construct.
+    private PoolJobCancellation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolJobCancellation() {
+      job_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+    }
+
+    public static final int JOB_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object job_ = "";
+    /**
+     * <code>string job = 1;</code>
+     * @return The job.
+     */
+    @java.lang.Override
+    public java.lang.String getJob() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        job_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string job = 1;</code>
+     * @return The bytes for job.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getJobBytes() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        job_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, job_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, job_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) obj;
+
+      if (!getJob()
+          .equals(other.getJob())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + JOB_FIELD_NUMBER;
+      hash = (53 * hash) + getJob().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolJobCancellation)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        job_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.job_ = job_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance()) return this;
+        if (!other.getJob().isEmpty()) {
+          job_ = other.job_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                job_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object job_ = "";
+      /**
+       * <code>string job = 1;</code>
+       * @return The job.
+       */
+      public java.lang.String getJob() {
+        java.lang.Object ref = job_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          job_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string job = 1;</code>
+       * @return The bytes for job.
+       */
+      public com.google.protobuf.ByteString
+          getJobBytes() {
+        java.lang.Object ref = job_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          job_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string job = 1;</code>
+       * @param value The job to set.
+       * @return This builder for chaining.
+       */
+      public Builder setJob(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        job_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string job = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearJob() {
+        job_ = getDefaultInstance().getJob();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string job = 1;</code>
+       * @param value The bytes for job to set.
+       * @return This builder for chaining.
+       */
+      public Builder setJobBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        job_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolJobCancellation)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolJobCancellation)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolJobCancellation>
+        PARSER = new com.google.protobuf.AbstractParser<PoolJobCancellation>() {
+      @java.lang.Override
+      public PoolJobCancellation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolJobCancellation> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolJobCancellation> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface PoolEvacuationPushOrBuilder extends
       // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolEvacuationPush)
       com.google.protobuf.MessageOrBuilder {
@@ -44594,6 +45332,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
   private static final 
@@ -44608,7 +45351,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\232\021\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\350\021\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -44663,112 +45406,115 @@
       "ool_configuration_push\030$ \001(\0132-.org.jackd" +
       "awsaddle.wire.PoolConfigurationPushH\000\022J\n" +
       "\024pool_evacuation_push\030% \001(\0132*.org.jackda" +
-      "wsaddle.wire.PoolEvacuationPushH\000B\006\n\004bod" +
-      "y\"+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006" +
-      "\022\016\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001" +
-      " \001(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006D" +
-      "emand\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes" +
-      "\030\002 \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014Sidecar" +
-      "Hello\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsadd" +
-      "le.wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007servic" +
-      "e\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 " +
-      "\001(\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001" +
-      "(\0132\036.org.jackdawsaddle.wire.Demand\022\017\n\007se" +
-      "rving\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revis" +
-      "ion\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n" +
-      "\005entry\030\001 \001(\0132\036.org.jackdawsaddle.wire.No" +
-      "deId\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\tStartT" +
-      "ask\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.wi" +
-      "re.TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(" +
-      "\014\022\030\n\020remaining_millis\030\004 \001(\004\022.\n\006demand\030\005 " +
-      "\001(\0132\036.org.jackdawsaddle.wire.Demand\"`\n\nS" +
-      "tartTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 " +
-      "\001(\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsaddle.w" +
-      "ire.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(" +
-      "\0132\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005st" +
-      "ate\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r" +
-      "\022\022\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tp" +
-      "artition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.ja" +
-      "ckdawsaddle.wire.TaskResult\"]\n\tStopTasks" +
-      "\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005ta" +
-      "sks\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskK" +
-      "ey\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002" +
-      " \001(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epo" +
-      "ch\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016ne" +
-      "west_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tpartiti" +
-      "on\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n" +
-      "\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_" +
-      "at\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartition\030\001 " +
-      "\001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007I" +
-      "nquiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
-      "\022\016\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%." +
-      "org.jackdawsaddle.wire.SubmissionKey\"e\n\r" +
-      "InquiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006numb" +
-      "er\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsad" +
-      "dle.wire.TaskResult\"G\n\023TargetConfigurati" +
-      "on\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n" +
-      "\005slots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010" +
-      "revision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001" +
-      "(\0132\036.org.jackdawsaddle.wire.NodeId\022\020\n\010re" +
-      "vision\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001" +
-      " \001(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReq" +
-      "uest\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n" +
-      "\004team\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_m" +
-      "illis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdaw" +
-      "saddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005" +
-      "token\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackd" +
-      "awsaddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n" +
-      "\007outcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003" +
-      " \001(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001" +
-      "(\r\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005toke" +
-      "n\030\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsad" +
-      "dle.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030" +
-      "\001 \001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017" +
-      "\n\007service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030" +
-      "\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031" +
-      "\n\010JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020" +
-      "\n\010revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n" +
-      "\010revision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQ" +
-      "uery\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005t" +
-      "oken\030\001 \001(\004\022\016\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n" +
-      "\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/" +
-      "\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wire" +
-      ".NodeId\022\023\n\013data_centre\030\002 \001(\t\022\016\n\006target\030\003" +
-      " \001(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132" +
-      "\036.org.jackdawsaddle.wire.Demand\022\016\n\006label" +
-      "s\030\006 \003(\t\022\035\n\025configuration_version\030\007 \001(\004\022\033" +
-      "\n\023evacuation_revision\030\010 \001(\004\"\210\001\n\010PoolRoom" +
-      "\022,\n\004free\030\001 \001(\0132\036.org.jackdawsaddle.wire." +
-      "Demand\022\017\n\007serving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026" +
-      "\n\016handled_starts\030\004 \001(\004\022\026\n\016unsettled_jobs" +
-      "\030\005 \003(\t\"[\n\016PoolTaskReport\022,\n\003run\030\001 \001(\0132\037." +
-      "org.jackdawsaddle.wire.PoolRun\022\014\n\004kind\030\002" +
-      " \001(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017PoolTaskReports\0227" +
-      "\n\007reports\030\001 \003(\0132&.org.jackdawsaddle.wire" +
-      ".PoolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030" +
-      "\001 \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n" +
-      "\taddresses\030\002 \003(\t\"\215\001\n\rPoolStartTask\022,\n\003ru" +
-      "n\030\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun" +
-      "\022\017\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org." +
-      "jackdawsaddle.wire.Demand\022\r\n\005queue\030\004 \001(\t" +
-      "\"`\n\tPoolStart\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002" +
-      " \001(\004\0224\n\005tasks\030\003 \003(\0132%.org.jackdawsaddle." +
-      "wire.PoolStartTask\"9\n\010PoolStop\022-\n\004runs\030\001" +
-      " \003(\0132\037.org.jackdawsaddle.wire.PoolRun\";\n" +
-      "\nPoolResume\022-\n\004runs\030\001 \003(\0132\037.org.jackdaws" +
-      "addle.wire.PoolRun\"X\n\010PoolPing\022\035\n\025config" +
-      "uration_version\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022" +
-      "\033\n\023evacuation_revision\030\003 \001(\004\"\213\001\n\rPoolPee" +
-      "rHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddl" +
-      "e.wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025config" +
-      "uration_version\030\003 \001(\004\022\033\n\023evacuation_revi" +
-      "sion\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001" +
-      " \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007version" +
-      "\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"<\n\022PoolEvacuationPu" +
-      "sh\022\020\n\010revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003" +
-      "(\tB-\n%org.jackdawsaddle.internal.wire.pr" +
-      "otoB\004Wireb\006proto3"
+      "wsaddle.wire.PoolEvacuationPushH\000\022L\n\025poo" +
+      "l_job_cancellation\030& \001(\0132+.org.jackdawsa" +
+      "ddle.wire.PoolJobCancellationH\000B\006\n\004body\"" +
+      "+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016" +
+      "\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001" +
+      "(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Dem" +
+      "and\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes\030\002" +
+      " \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014SidecarHe" +
+      "llo\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle" +
+      ".wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030" +
+      "\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(" +
+      "\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001(\013" +
+      "2\036.org.jackdawsaddle.wire.Demand\022\017\n\007serv" +
+      "ing\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revisio" +
+      "n\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n\005e" +
+      "ntry\030\001 \001(\0132\036.org.jackdawsaddle.wire.Node" +
+      "Id\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\tStartTas" +
+      "k\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.wire" +
+      ".TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(\014\022" +
+      "\030\n\020remaining_millis\030\004 \001(\004\022.\n\006demand\030\005 \001(" +
+      "\0132\036.org.jackdawsaddle.wire.Demand\"`\n\nSta" +
+      "rtTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(" +
+      "\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsaddle.wir" +
+      "e.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(\0132" +
+      "\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005stat" +
+      "e\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022" +
+      "\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpar" +
+      "tition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.jack" +
+      "dawsaddle.wire.TaskResult\"]\n\tStopTasks\022\021" +
+      "\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005task" +
+      "s\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskKey" +
+      "\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001" +
+      "(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch" +
+      "\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016newe" +
+      "st_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tpartition" +
+      "\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n\tp" +
+      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at" +
+      "\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartition\030\001 \001(" +
+      "\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007Inq" +
+      "uiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016" +
+      "\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%.or" +
+      "g.jackdawsaddle.wire.SubmissionKey\"e\n\rIn" +
+      "quiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006number" +
+      "\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsaddl" +
+      "e.wire.TaskResult\"G\n\023TargetConfiguration" +
+      "\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005s" +
+      "lots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010re" +
+      "vision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001(\013" +
+      "2\036.org.jackdawsaddle.wire.NodeId\022\020\n\010revi" +
+      "sion\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001 \001" +
+      "(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReque" +
+      "st\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004t" +
+      "eam\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_mil" +
+      "lis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdawsa" +
+      "ddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005to" +
+      "ken\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackdaw" +
+      "saddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n\007o" +
+      "utcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001" +
+      "(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r" +
+      "\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005token\030" +
+      "\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsaddl" +
+      "e.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030\001 " +
+      "\001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007" +
+      "service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030\001 " +
+      "\001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010" +
+      "JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010" +
+      "revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n\010r" +
+      "evision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQue" +
+      "ry\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005tok" +
+      "en\030\001 \001(\004\022\016\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n\004t" +
+      "ask\030\001 \001(\t\022\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/\n\007" +
+      "sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wire.N" +
+      "odeId\022\023\n\013data_centre\030\002 \001(\t\022\016\n\006target\030\003 \001" +
+      "(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132\036." +
+      "org.jackdawsaddle.wire.Demand\022\016\n\006labels\030" +
+      "\006 \003(\t\022\035\n\025configuration_version\030\007 \001(\004\022\033\n\023" +
+      "evacuation_revision\030\010 \001(\004\"\210\001\n\010PoolRoom\022," +
+      "\n\004free\030\001 \001(\0132\036.org.jackdawsaddle.wire.De" +
+      "mand\022\017\n\007serving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026\n\016" +
+      "handled_starts\030\004 \001(\004\022\026\n\016unsettled_jobs\030\005" +
+      " \003(\t\"[\n\016PoolTaskReport\022,\n\003run\030\001 \001(\0132\037.or" +
+      "g.jackdawsaddle.wire.PoolRun\022\014\n\004kind\030\002 \001" +
+      "(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017PoolTaskReports\0227\n\007" +
+      "reports\030\001 \003(\0132&.org.jackdawsaddle.wire.P" +
+      "oolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030\001 " +
+      "\001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n\ta" +
+      "ddresses\030\002 \003(\t\"\215\001\n\rPoolStartTask\022,\n\003run\030" +
+      "\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun\022\017" +
+      "\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.ja" +
+      "ckdawsaddle.wire.Demand\022\r\n\005queue\030\004 \001(\t\"`" +
+      "\n\tPoolStart\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001" +
+      "(\004\0224\n\005tasks\030\003 \003(\0132%.org.jackdawsaddle.wi" +
+      "re.PoolStartTask\"9\n\010PoolStop\022-\n\004runs\030\001 \003" +
+      "(\0132\037.org.jackdawsaddle.wire.PoolRun\";\n\nP" +
+      "oolResume\022-\n\004runs\030\001 \003(\0132\037.org.jackdawsad" +
+      "dle.wire.PoolRun\"X\n\010PoolPing\022\035\n\025configur" +
+      "ation_version\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022\033\n" +
+      "\023evacuation_revision\030\003 \001(\004\"\213\001\n\rPoolPeerH" +
+      "ello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle." +
+      "wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configur" +
+      "ation_version\030\003 \001(\004\022\033\n\023evacuation_revisi" +
+      "on\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001 \003" +
+      "(\t\"6\n\025PoolConfigurationPush\022\017\n\007version\030\001" +
+      " \001(\004\022\014\n\004text\030\002 \001(\t\"\"\n\023PoolJobCancellatio" +
+      "n\022\013\n\003job\030\001 \001(\t\"<\n\022PoolEvacuationPush\022\020\n\010" +
+      "revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003(\tB-\n%" +
+      "org.jackdawsaddle.internal.wire.protoB\004W" +
+      "ireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -44779,7 +45525,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "PoolJobCancellation", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -45062,8 +45808,14 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_descriptor,
         new java.lang.String[] { "Version", "Text", });
-    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
+    internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor =
       getDescriptor().getMessageType(48);
+    internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor,
+        new java.lang.String[] { "Job", });
+    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
+      getDescriptor().getMessageType(49);
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor,
