Let the known target decide which announcement replaces it

Change: the check of the service moves into KnownTarget, the encoding of Hello into a method of its own. No behaviour changes.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
@@ -1,6 +1,9 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.Optional;
+import java.util.function.Predicate;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
@@ -55,11 +58,35 @@
         return now < mAnnouncementExpiresAt ? mAnnouncementExpiresAt : Long.MAX_VALUE;
     }
 
+    /**
+     * Returns whether an announcement replaces what is known. The target beside a sidecar never
+     * changes its service: an announcement of another service is that of another writer and is
+     * logged, unless only the known one is of a service that the configuration does not name.
+     *
+     * @param namesService whether the configuration names a service
+     */
+    boolean accepts(TargetIncarnation announced, Predicate<String> namesService) {
+        if (mTarget.filter(known -> !known.service().equals(announced.service())).isEmpty()) {
+            return !supersedes(announced);
+        }
+        boolean corrects =
+                namesService.test(announced.service())
+                        && !namesService.test(mTarget.orElseThrow().service());
+        if (!corrects) {
+            EventLog.line(Event.INPUT_UNREADABLE)
+                    .with("input", "announcement")
+                    .with("target", announced.id())
+                    .with("field", "service")
+                    .write();
+        }
+        return corrects;
+    }
+
     /**
      * Returns whether an announcement is not newer than what is known: it was repeated, delayed in
      * transit or comes from an earlier incarnation.
      */
-    boolean supersedes(TargetIncarnation announced) {
+    private boolean supersedes(TargetIncarnation announced) {
         return mTarget.filter(known ->
                         announced.sameIncarnation(known)
                                 ? announced.sequence() <= known.sequence()
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -148,33 +148,13 @@
     }
 
     private void onAnnounced(TargetIncarnation target) {
-        boolean ofOtherService =
-                target().filter(known -> !known.service().equals(target.service())).isPresent();
-        boolean accepted =
-                ofOtherService ? correctsService(target) : !mKnownTarget.supersedes(target);
-        if (accepted) {
+        if (mKnownTarget.accepts(target, mRelayed::namesService)) {
             Optional<TargetIncarnation> before = target();
             mKnownTarget.onAnnounced(target, mNow);
             onTargetChanged(before, target);
-        } else if (ofOtherService) {
-            EventLog.line(Event.INPUT_UNREADABLE)
-                    .with("input", "announcement")
-                    .with("target", target.id())
-                    .with("field", "service")
-                    .write();
         }
     }
 
-    /**
-     * Returns whether the target belongs to a service of the configuration, and the known one does
-     * not. The target beside a sidecar never changes its service, so the known one was the odd
-     * announcement of another writer; otherwise this one is.
-     */
-    private boolean correctsService(TargetIncarnation target) {
-        return mRelayed.namesService(target.service())
-                && !mRelayed.namesService(target().orElseThrow().service());
-    }
-
     /** Handles an incarnation that has not announced itself: it is only polled until it has. */
     private void onDiscovered(TargetIncarnation target) {
         Optional<TargetIncarnation> before = target();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -32,16 +32,7 @@
 
     static void encode(PoolMessage message, Envelope.Builder envelope) {
         switch (message) {
-            case Hello hello ->
-                    envelope.getPoolHelloBuilder()
-                            .setSidecar(WireCodec.encode(hello.sidecar()))
-                            .setDataCentre(hello.dataCentre())
-                            .setTarget(hello.target())
-                            .setService(hello.service())
-                            .setCapacity(WireCodec.encode(hello.capacity()))
-                            .addAllLabels(hello.labels())
-                            .setConfigurationVersion(hello.configurationVersion())
-                            .setEvacuationRevision(hello.evacuationRevision());
+            case Hello hello -> encode(hello, envelope);
             case Room room ->
                     envelope.getPoolRoomBuilder()
                             .setFree(WireCodec.encode(room.free()))
@@ -92,6 +83,18 @@
         }
     }
 
+    private static void encode(Hello hello, Envelope.Builder envelope) {
+        envelope.getPoolHelloBuilder()
+                .setSidecar(WireCodec.encode(hello.sidecar()))
+                .setDataCentre(hello.dataCentre())
+                .setTarget(hello.target())
+                .setService(hello.service())
+                .setCapacity(WireCodec.encode(hello.capacity()))
+                .addAllLabels(hello.labels())
+                .setConfigurationVersion(hello.configurationVersion())
+                .setEvacuationRevision(hello.evacuationRevision());
+    }
+
     static PoolMessage decode(Envelope envelope) {
         return switch (envelope.getBodyCase()) {
             case POOL_HELLO -> decode(envelope.getPoolHello());
