--- a/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
+++ b/jackdawsaddle.standin/src/org/jackdawsaddle/standin/platform/PlatformFixture.java
@@ -155,7 +155,9 @@
                 storeAddress,
                 WorkerModel.LEASE_MILLIS,
                 RESEND_MILLIS,
-                mGraceSeconds);
+                mGraceSeconds,
+                "",
+                "");
     }
 
     /**
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ConfigurationPushTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ConfigurationPushTest.java
@@ -37,7 +37,7 @@
     public void connectPool() {
         mPushes.clear();
         mNow = 1_000_000;
-        mCore = new PoolEntryCore("entry-0", LEASE_MILLIS, RESEND_MILLIS);
+        mCore = new PoolEntryCore("entry-0", LEASE_MILLIS, RESEND_MILLIS, 0);
         configure(1);
         for (int peer = 1; peer < ENTRIES; peer++) {
             handle(new PoolEntryEvent.PeerConnected(new NodeId("entry-" + peer, 1)));
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/EvacuationLoadTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/EvacuationLoadTest.java
@@ -13,8 +13,8 @@
 import org.testng.annotations.Test;
 
 /**
- * One of three data centres is evacuated under load. Only one entry can read the store, and the
- * entries' messages to each other are lost, so the others learn it from the sidecars.
+ * One of three data centres is evacuated under load. Only one entry can read the store; the others
+ * learn it from that entry and from sidecars.
  */
 public class EvacuationLoadTest {
     private static final String EVACUATED = "west";
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTest.java
@@ -60,7 +60,7 @@
 
     @Test
     public void holdsJobsUntilSidecarsHaveHadTimeToConnect() {
-        mCore = new PoolEntryCore("entry", LEASE_MILLIS, RESEND_MILLIS);
+        mCore = new PoolEntryCore("entry", LEASE_MILLIS, RESEND_MILLIS, 0);
         configure(1);
         for (int job = 0; job < 20; job++) {
             submit("b" + job, 2, 16);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
@@ -27,6 +27,7 @@
     static final long RESEND_MILLIS = 1_300;
     static final long PATIENCE_MILLIS = 1_500;
     static final long TASK_MILLIS = 100;
+    static final double PROCESSOR_CORES = 0.01;
 
     /** A run that the entry has ordered a sidecar to start. */
     record Order(NodeId sidecar, Run run) {}
@@ -48,7 +49,7 @@
         mAnswers.clear();
         mSentToPeers.clear();
         mDisconnectedPeers.clear();
-        mCore = new PoolEntryCore("entry", LEASE_MILLIS, RESEND_MILLIS);
+        mCore = new PoolEntryCore("entry", LEASE_MILLIS, RESEND_MILLIS, PROCESSOR_CORES);
         assertFalse(mCore.ready());
         configure(1);
         assertFalse(mCore.ready(), "no sidecar serves yet");
@@ -151,6 +152,7 @@
                 case PoolEntryAction.AnswerCaller answer -> mAnswers.add(answer.answer());
                 case PoolEntryAction.SendToSidecar send -> onSent(send);
                 case PoolEntryAction.SendToPeer send -> mSentToPeers.add(send.message());
+                case PoolEntryAction.AnswerPeer answer -> mSentToPeers.add(answer.message());
                 case PoolEntryAction.DisconnectPeer disconnect ->
                         mDisconnectedPeers.add(disconnect.peer());
                 case PoolEntryAction.DisconnectSidecar disconnect -> {}
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolShape.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolShape.java
@@ -12,16 +12,33 @@
  * @param coresPerWorker the cores of each worker
  * @param speeds the speeds of the workers, in turn
  * @param configuration the configuration in force
+ * @param processorCores the processor cores of the entries, in turn; 0 for unknown
  */
 record PoolShape(
         int entries,
         int sidecars,
         double coresPerWorker,
         List<Double> speeds,
-        PoolConfiguration configuration) {
+        PoolConfiguration configuration,
+        List<Double> processorCores) {
     /** The service of all workers. */
     static final String SERVICE = "ledger";
 
+    /** Creates a pool whose entries do not know their size. */
+    PoolShape(
+            int entries,
+            int sidecars,
+            double coresPerWorker,
+            List<Double> speeds,
+            PoolConfiguration configuration) {
+        this(entries, sidecars, coresPerWorker, speeds, configuration, List.of(0.0));
+    }
+
+    /** Returns the same pool with entries of these sizes. */
+    PoolShape withProcessorCores(List<Double> cores) {
+        return new PoolShape(entries, sidecars, coresPerWorker, speeds, configuration, cores);
+    }
+
     /** The data centres of the sidecars, in turn. */
     private static final List<String> DATA_CENTRES = List.of("west", "north", "east");
 
@@ -36,6 +53,10 @@
                 new PoolConfiguration(1, List.of(queue)));
     }
 
+    double processorCoresOf(int entry) {
+        return processorCores.get(entry % processorCores.size());
+    }
+
     double speedOf(int sidecar) {
         return speeds.get(sidecar % speeds.size());
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
@@ -38,7 +38,7 @@
         mHandledStarts = 0;
         mOrderCount = 0;
         mAnswers.clear();
-        mCore = new PoolEntryCore("entry", 1_000, 1_300);
+        mCore = new PoolEntryCore("entry", 1_000, 1_300, 0);
         mCore.handle(
                 new PoolEntryEvent.ConfigurationRead(PoolShape.small(1, 1).configuration()), mNow);
         announce(FULL_CORES);
@@ -81,7 +81,7 @@
 
     @Test
     public void refusesAJobWhileNoTargetIsKnown() {
-        mCore = new PoolEntryCore("entry", 1_000, 1_300);
+        mCore = new PoolEntryCore("entry", 1_000, 1_300, 0);
         mCore.handle(
                 new PoolEntryEvent.ConfigurationRead(PoolShape.small(1, 1).configuration()), mNow);
         submit("aa", 1);
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedEntry.java
@@ -34,7 +34,12 @@
 
     @Override
     void startCore() {
-        mCore = new PoolEntryCore(mName, WorkerModel.LEASE_MILLIS, PoolSimulation.RESEND_MILLIS);
+        mCore =
+                new PoolEntryCore(
+                        mName,
+                        WorkerModel.LEASE_MILLIS,
+                        PoolSimulation.RESEND_MILLIS,
+                        mSimulation.mShape.processorCoresOf(mIndex));
         mConnectionNumbers.clear();
         mSidecarNodes.clear();
         List<SimulatedCaller> disconnected = List.copyOf(mCallersByToken.values());
@@ -101,6 +106,7 @@
                 case PoolEntryAction.DisconnectSidecar disconnect ->
                         disconnect(disconnect.sidecar());
                 case PoolEntryAction.SendToPeer send -> sendToPeer(send);
+                case PoolEntryAction.AnswerPeer answer -> answerPeer(answer);
                 case PoolEntryAction.DisconnectPeer disconnect -> {}
             }
         }
@@ -113,24 +119,43 @@
                 .ifPresent(receiver -> receiver.accept(answer.answer()));
     }
 
-    /** Sends a message to another entry, which answers with a ping if it is alive. */
+    /** Sends a message to another entry, which answers each ping with one if it is alive. */
     private void sendToPeer(PoolEntryAction.SendToPeer send) {
         mSimulation.mPeerMessageCount++;
-        PoolMessage.Ping answer = new PoolMessage.Ping(1, false, 0);
-        for (SimulatedEntry peer : mSimulation.mEntries) {
-            if (peer.mAlive && send.peer().equals(peer.node())) {
-                int incarnation = mIncarnation;
-                mSimulation.after(
-                        2,
-                        () ->
-                                runIfAlive(
-                                        incarnation,
-                                        () ->
-                                                handle(
-                                                        new PoolEntryEvent.PeerAnswered(
-                                                                send.peer(), answer))));
-            }
-        }
+        findAlive(send.peer())
+                .ifPresent(peer ->
+                        peer.deliver(() -> {
+                            peer.handle(new PoolEntryEvent.PeerSent(node(), send.message()));
+                            if (send.message() instanceof PoolMessage.Ping) {
+                                peer.answerPing(node());
+                            }
+                        }));
+    }
+
+    private void answerPing(NodeId peer) {
+        answerPeer(new PoolEntryAction.AnswerPeer(peer, mCore.peerHeartbeat()));
+    }
+
+    /** Sends a message on the connection that another entry has opened. */
+    private void answerPeer(PoolEntryAction.AnswerPeer answer) {
+        findAlive(answer.peer())
+                .ifPresent(peer ->
+                        peer.deliver(() ->
+                                peer.handle(
+                                        new PoolEntryEvent.PeerAnswered(
+                                                node(), answer.message()))));
+    }
+
+    private Optional<SimulatedEntry> findAlive(NodeId node) {
+        return mSimulation.mEntries.stream()
+                .filter(entry -> entry.mAlive && entry.node().equals(node))
+                .findFirst();
+    }
+
+    /** Executes work 1 ms from now, if this incarnation is still alive then. */
+    private void deliver(Runnable work) {
+        int incarnation = mIncarnation;
+        mSimulation.after(1, () -> runIfAlive(incarnation, work));
     }
 
     NodeId node() {
@@ -158,6 +183,7 @@
             for (SimulatedEntry peer : mSimulation.mEntries) {
                 if (peer != this && peer.mAlive) {
                     peer.handle(new PoolEntryEvent.PeerLost(node()));
+                    peer.handle(new PoolEntryEvent.PeerClosed(node()));
                 }
             }
         }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedNode.java
@@ -25,6 +25,9 @@
     /** Until when the process is frozen, in milliseconds since the epoch. */
     long mFrozenUntil;
 
+    /** How long this process takes for each event, in milliseconds; 0 for that of all processes. */
+    double mEventCostMillis;
+
     /** When the next tick is scheduled, in milliseconds since the epoch. */
     private long mTickAt;
 
@@ -45,7 +48,7 @@
             mSimulation.at(mFrozenUntil + 1, () -> runIfAlive(incarnation, work));
             return;
         }
-        if (mSimulation.mEventCostMillis > 0) {
+        if (eventCostMillis() > 0) {
             runWhenIdle(incarnation, work);
             return;
         }
@@ -65,9 +68,13 @@
         }
     }
 
+    private double eventCostMillis() {
+        return mEventCostMillis > 0 ? mEventCostMillis : mSimulation.mEventCostMillis;
+    }
+
     /** Executes work after the work that waits already, and keeps the process busy meanwhile. */
     private void runWhenIdle(int incarnation, Runnable work) {
-        mBusyUntil = Math.max(mBusyUntil, mSimulation.mNow) + mSimulation.mEventCostMillis;
+        mBusyUntil = Math.max(mBusyUntil, mSimulation.mNow) + eventCostMillis();
         mSimulation.at(
                 (long) mBusyUntil,
                 () -> {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/wire/WireCodecTest.java
@@ -3,12 +3,14 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.errors.ErrorCode;
+import org.jackdawsaddle.internal.message.EntryLoad;
 import org.jackdawsaddle.internal.message.EntryMessage;
 import org.jackdawsaddle.internal.message.Message;
 import org.jackdawsaddle.internal.message.PeerMessage;
@@ -22,6 +24,9 @@
 import org.jackdawsaddle.job.SubmissionId;
 import org.jackdawsaddle.job.TaskRequest;
 import org.jackdawsaddle.pool.Evacuation;
+import org.jackdawsaddle.pool.PoolAnswer;
+import org.jackdawsaddle.pool.PoolJob;
+import org.jackdawsaddle.pool.PoolStep;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -71,6 +76,22 @@
         return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
     }
 
+    private static final PoolJob JOB =
+            new PoolJob(
+                    "j",
+                    "queue",
+                    "payload",
+                    List.of(
+                            new PoolStep(
+                                    2,
+                                    new Demand(1.5, 64, 0),
+                                    80,
+                                    List.of(),
+                                    Optional.empty(),
+                                    Optional.of("r1-3"),
+                                    1)),
+                    0);
+
     @DataProvider
     public Object[][] poolMessages() {
         PoolMessage.Run run = new PoolMessage.Run("á.0.0.1", 2);
@@ -104,6 +125,17 @@
                         new PoolMessage.Members(List.of("127.0.0.1:1", "127.0.0.1:2")),
                         new PoolMessage.ConfigurationPush(8, "{}"),
                         new PoolMessage.JobCancellation("j"),
+                        new PoolMessage.HandOver(1, JOB, 900),
+                        new PoolMessage.HandOverAnswer(1, Optional.empty()),
+                        new PoolMessage.HandOverAnswer(2, Optional.of(new PoolAnswer.Succeeded())),
+                        new PoolMessage.HandOverAnswer(
+                                3, Optional.of(new PoolAnswer.Failed("why"))),
+                        new PoolMessage.HandOverAnswer(
+                                4, Optional.of(new PoolAnswer.Refused("why", 1_000))),
+                        new PoolMessage.HandOverAnswer(
+                                5, Optional.of(new PoolAnswer.Abandoned("why"))),
+                        new PoolMessage.HandOverCancellation(6),
+                        new PoolMessage.Ping(5, false, 9, new EntryLoad(0.36, 400)),
                         new PoolMessage.EvacuationPush(new Evacuation(9, Set.of("a", "b"))));
         return all.stream().map(message -> new Object[] {message}).toArray(Object[][]::new);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolEntryService.java
@@ -80,7 +80,12 @@
         mConfig = config;
         mClock = clock;
         mSelf = new NodeId(config.name(), new SecureRandom().nextLong() >>> 1);
-        mCore = new PoolEntryCore(config.name(), config.leaseMillis(), config.resendMillis());
+        mCore =
+                new PoolEntryCore(
+                        config.name(),
+                        config.leaseMillis(),
+                        config.resendMillis(),
+                        config.processorCores());
         mThreads = new WireThreads("wire", 1);
         mLoop =
                 new WireControlLoop(
@@ -286,6 +291,8 @@
             case PoolEntryAction.SendToSidecar send ->
                     mAcceptor.send(send.sidecar(), send.message());
             case PoolEntryAction.SendToPeer send -> mDialer.send(send.peer(), send.message());
+            case PoolEntryAction.AnswerPeer answer ->
+                    mAcceptor.sendToPeer(answer.peer(), answer.message());
             case PoolEntryAction.DisconnectSidecar disconnect ->
                     mAcceptor.disconnect(disconnect.sidecar());
             case PoolEntryAction.DisconnectPeer disconnect -> disconnectPeer(disconnect.peer());
@@ -319,6 +326,11 @@
             handle(new PoolEntryEvent.PeerSent(hello.entry(), hello));
         }
 
+        @Override
+        public void peerClosed(NodeId peer) {
+            handle(new PoolEntryEvent.PeerClosed(peer));
+        }
+
         @Override
         public PoolMessage.Ping heartbeat() {
             return mCore.peerHeartbeat();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -21,6 +21,8 @@
     OPENED(10),
     /** A job was refused; none of its tasks has run. */
     JOB_REFUSED(30),
+    /** Another entry is to answer a job. */
+    JOB_HANDED_OVER(20),
     /** A job has received its final answer. */
     JOB_ENDED(60),
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -1,9 +1,12 @@
 package org.jackdawsaddle.internal.message;
 
 import java.util.List;
+import java.util.Optional;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.pool.Evacuation;
+import org.jackdawsaddle.pool.PoolAnswer;
+import org.jackdawsaddle.pool.PoolJob;
 
 /**
  * A message between two processes of a pool, an entry and a sidecar or two entries. Every entry
@@ -176,9 +179,16 @@
      * @param watching whether the sender asks the receiving sidecar to report changes of its free
      *     capacity at once, until a ping says otherwise; false between entries
      * @param evacuationRevision the revision of the evacuation in force at the sender
+     * @param load the load of the sender; none in a heartbeat to a sidecar
      */
-    record Ping(long configurationVersion, boolean watching, long evacuationRevision)
-            implements PoolMessage {}
+    record Ping(
+            long configurationVersion, boolean watching, long evacuationRevision, EntryLoad load)
+            implements PoolMessage {
+        /** Creates a heartbeat that tells no load. */
+        public Ping(long configurationVersion, boolean watching, long evacuationRevision) {
+            this(configurationVersion, watching, evacuationRevision, EntryLoad.UNKNOWN);
+        }
+    }
 
     /**
      * Identifies an entry to another one; its first message on a connection.
@@ -207,6 +217,27 @@
      */
     record ConfigurationPush(long version, String text) implements PoolMessage {}
 
+    /**
+     * Asks another entry to answer a job in place of the sender, which passes the answer on to the
+     * callers. The receiver abandons the job if the connection is lost or silent for too long.
+     *
+     * @param number identifies the request on the sender
+     * @param job the job, without its deadline: the clocks of both entries differ
+     * @param remainingMillis how long its caller still waits, in milliseconds
+     */
+    record HandOver(long number, PoolJob job, long remainingMillis) implements PoolMessage {}
+
+    /**
+     * Answers a {@link HandOver}, on the same connection.
+     *
+     * @param answer the answer to the job; empty if the receiver declines it, so that it must be
+     *     served by the sender
+     */
+    record HandOverAnswer(long number, Optional<PoolAnswer> answer) implements PoolMessage {}
+
+    /** Tells that no caller waits any more for the answer to a {@link HandOver}. */
+    record HandOverCancellation(long number) implements PoolMessage {}
+
     /** Cancels a job if the receiving entry has it; its caller has asked another entry to. */
     record JobCancellation(String job) implements PoolMessage {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -20,6 +20,7 @@
     private final long mResendMillis;
     private final JobAnswers mAnswers;
 
+    private final HandOverController mHandOvers;
     private final QueueForecast mForecast;
     private final TaskDispatcher mDispatcher;
 
@@ -30,12 +31,18 @@
     private boolean mDispatchDue;
 
     JobController(
-            PoolEntryState state, Placement placement, PoolAdmission admission, long resendMillis) {
+            PoolEntryState state,
+            Placement placement,
+            PoolAdmission admission,
+            PeerController peers,
+            double processorCores,
+            long resendMillis) {
         mState = state;
         mPlacement = placement;
         mAdmission = admission;
         mResendMillis = resendMillis;
         mAnswers = new JobAnswers(state, placement);
+        mHandOvers = new HandOverController(state, peers, processorCores, this::serve);
         mForecast = new QueueForecast(placement);
         mDispatcher = new TaskDispatcher(state, placement, mForecast, resendMillis);
     }
@@ -47,6 +54,19 @@
      * @param token identifies the call to answer
      */
     void submit(long token, PoolJob job) {
+        mHandOvers.recordSubmitted(job);
+        boolean known =
+                mState.mJobs.containsKey(job.id()) || mAnswers.retained(job.id()).isPresent();
+        boolean delayed = mState.mTimeline.maxRequestAgeMillis() >= mResendMillis;
+        if (mHandOvers.join(token, job.id())
+                || !known && !delayed && mHandOvers.offer(token, job)) {
+            return;
+        }
+        serve(token, job);
+    }
+
+    /** Serves the job of a call at this entry, see {@link #submit}. */
+    void serve(long token, PoolJob job) {
         mState.count(PoolEntryCounter.JOBS_SUBMITTED);
         ActiveJob active = mState.mJobs.get(job.id());
         Optional<PoolAnswer> retained = mAnswers.retained(job.id());
@@ -88,6 +108,11 @@
         mDispatchDue = true;
     }
 
+    /** Returns what tracks the jobs that other entries answer. */
+    HandOverController handOvers() {
+        return mHandOvers;
+    }
+
     /** Makes the next {@link #dispatchIfDue} place tasks. */
     void requestDispatch() {
         mDispatchDue = true;
@@ -205,6 +230,10 @@
      * may be sent again to another entry, which must not find its tasks still running.
      */
     void onCallerLost(long token) {
+        if (mHandOvers.onCallerLost(token)) {
+            mState.count(PoolEntryCounter.CALLERS_LOST);
+            return;
+        }
         mState.mJobs.values().stream()
                 .filter(job -> job.mCallerTokens.contains(token))
                 .findFirst()
@@ -235,6 +264,7 @@
 
     void onTick() {
         mAnswers.evictExpired();
+        mHandOvers.onTick();
         mState.mQuarantine.onTick(mState.mNow);
         List.copyOf(mState.mJobs.values()).forEach(this::endIfExpired);
         mForecastDue = true;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -27,6 +27,13 @@
 
         /** When a message was last sent on it, in milliseconds since the epoch. */
         long mLastSentAt;
+
+        /** Until when the peer must answer soon, in milliseconds since the epoch. */
+        long mAnswersExpectedUntil;
+
+        boolean answersExpected(long now) {
+            return now < mAnswersExpectedUntil;
+        }
     }
 
     private final PoolEntryState mState;
@@ -117,15 +124,9 @@
             case PoolMessage.ConfigurationPush push ->
                     onConfiguration(
                             Json.read(push.text(), PoolConfiguration.class), peer.toString());
-            case PoolMessage.EvacuationPush push -> {
-                // EvacuationController handles it.
+            default -> {
+                // Other controllers handle it.
             }
-            case PoolMessage.JobCancellation cancellation -> {
-                // JobController handles it.
-            }
-            default ->
-                    throw new IllegalArgumentException(
-                            "Unexpected message from an entry: " + message);
         }
     }
 
@@ -137,19 +138,46 @@
 
     void onTick() {
         mPeers.forEach((peer, view) -> {
-            if (mState.mNow - view.mLastHeardAt > PoolTiming.PEER_TIMEOUT_MILLIS) {
+            if (mState.mNow - view.mLastHeardAt > timeoutMillis(view)) {
                 // Restarts the timeout, so that not every tick requests a disconnection.
                 view.mLastHeardAt = mState.mNow;
                 mState.mActions.add(new PoolEntryAction.DisconnectPeer(peer));
             }
-            if (mState.mNow - view.mLastSentAt >= PoolTiming.PEER_HEARTBEAT_INTERVAL_MILLIS) {
+            if (mState.mNow - view.mLastSentAt >= heartbeatIntervalMillis(view)) {
                 ping(peer);
             }
         });
     }
 
+    private long timeoutMillis(PeerView view) {
+        return view.answersExpected(mState.mNow)
+                ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
+                : PoolTiming.PEER_TIMEOUT_MILLIS;
+    }
+
+    private long heartbeatIntervalMillis(PeerView view) {
+        return view.answersExpected(mState.mNow)
+                ? PoolTiming.HEARTBEAT_INTERVAL_MILLIS
+                : PoolTiming.PEER_HEARTBEAT_INTERVAL_MILLIS;
+    }
+
+    /**
+     * Makes heartbeats to an entry as frequent as those to sidecars for a while, and its silence
+     * noticed as soon, counted from now at the earliest.
+     */
+    void expectAnswers(NodeId peer) {
+        PeerView view = mPeers.get(peer);
+        if (view == null) {
+            return;
+        }
+        if (!view.answersExpected(mState.mNow)) {
+            view.mLastHeardAt = mState.mNow;
+        }
+        view.mAnswersExpectedUntil = mState.mNow + PoolTiming.PEER_HEARTBEAT_INTERVAL_MILLIS;
+    }
+
     private void ping(NodeId peer) {
-        send(peer, mState.heartbeat(false));
+        send(peer, mState.peerHeartbeat());
     }
 
     /** Sends a message to every other entry that is connected. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryAction.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryAction.java
@@ -15,6 +15,9 @@
     /** Send a message to another entry, on the connection that this entry opened. */
     record SendToPeer(NodeId peer, PoolMessage message) implements PoolEntryAction {}
 
+    /** Send a message to another entry, on the connection that it opened. */
+    record AnswerPeer(NodeId peer, PoolMessage message) implements PoolEntryAction {}
+
     /** Close the connection to a sidecar that has timed out; the sidecar reconnects. */
     record DisconnectSidecar(NodeId sidecar) implements PoolEntryAction {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -1,6 +1,7 @@
 package org.jackdawsaddle.internal.pool;
 
 import java.util.List;
+import java.util.Optional;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.json.Json;
 import org.jackdawsaddle.internal.message.PoolMessage;
@@ -19,6 +20,7 @@
 public final class PoolEntryCore {
     private final PoolEntryState mState;
     private final JobController mJobs;
+    private final TakenJobs mTaken;
     private final SidecarController mSidecars;
     private final PeerController mPeers;
     private final EvacuationController mEvacuations;
@@ -31,16 +33,23 @@
      * @param leaseMillis the longest lease that targets grant on their runs, in milliseconds
      * @param resendMillis how long a caller without an answer waits before it sends its job again,
      *     in milliseconds
+     * @param processorCores the processor cores that the entry may use; 0 if unknown
      */
-    public PoolEntryCore(String name, long leaseMillis, long resendMillis) {
+    public PoolEntryCore(String name, long leaseMillis, long resendMillis, double processorCores) {
         mState = new PoolEntryState();
         SpeedModel speeds = new SpeedModel();
         Placement placement = new Placement(speeds, mState.mQuarantine);
+        mPeers = new PeerController(mState);
         mJobs =
                 new JobController(
-                        mState, placement, new PoolAdmission(mState, placement), resendMillis);
+                        mState,
+                        placement,
+                        new PoolAdmission(mState, placement),
+                        mPeers,
+                        processorCores,
+                        resendMillis);
+        mTaken = new TakenJobs(mState);
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
-        mPeers = new PeerController(mState);
         mEvacuations = new EvacuationController(mState, mPeers);
         mWatches = new WatchController(mState, placement, name);
     }
@@ -67,12 +76,18 @@
             case PoolEntryEvent.SidecarLost lost -> mSidecars.onLost(lost.sidecar());
             case PoolEntryEvent.SidecarSent sent -> onSidecarSent(sent.sidecar(), sent.message());
             case PoolEntryEvent.PeerConnected connected -> mPeers.onConnected(connected.peer());
-            case PoolEntryEvent.PeerLost lost -> mPeers.onLost(lost.peer());
+            case PoolEntryEvent.PeerLost lost -> {
+                mPeers.onLost(lost.peer());
+                mJobs.handOvers().onPeerLost(lost.peer());
+            }
+            case PoolEntryEvent.PeerClosed closed -> abandonRequestsOf(closed.peer());
             case PoolEntryEvent.PeerAnswered answered -> {
                 mPeers.onAnswered(answered.peer(), answered.message());
+                onPeerAnswered(answered.peer(), answered.message());
                 onPeerSent(answered.peer(), answered.message());
             }
             case PoolEntryEvent.PeerSent sent -> {
+                mTaken.onHeard(sent.peer());
                 mPeers.onReceived(sent.peer(), sent.message());
                 onPeerSent(sent.peer(), sent.message());
             }
@@ -80,6 +95,7 @@
                 mSidecars.onTick();
                 mPeers.onTick();
                 mJobs.onTick();
+                mTaken.takeSilentSenders().forEach(this::abandonRequestsOf);
                 mState.mNextTickAt = mState.mNow + PoolTiming.IDLE_TICK_INTERVAL_MILLIS;
             }
             case PoolEntryEvent.LeaveRequested leave -> mState.mWorkDeadline = leave.workDeadline();
@@ -96,7 +112,7 @@
             mState.mNextTickAt =
                     Math.min(mState.mNextTickAt, mState.mNow + PoolTiming.TICK_INTERVAL_MILLIS);
         }
-        List<PoolEntryAction> actions = List.copyOf(mState.mActions);
+        List<PoolEntryAction> actions = mState.mActions.stream().map(mTaken::redirect).toList();
         mState.mActions.clear();
         return actions;
     }
@@ -135,7 +151,7 @@
 
     /** Returns whether no caller waits for an answer. */
     public boolean idle() {
-        return mState.mJobs.isEmpty();
+        return mState.mJobs.isEmpty() && !mJobs.handOvers().active();
     }
 
     /** Returns when the next tick is due, in milliseconds since the epoch; 0 for at once. */
@@ -146,6 +162,7 @@
     /** Returns whether the entry has jobs, watches sidecars or has placed runs. */
     private boolean active() {
         return !mState.mJobs.isEmpty()
+                || mJobs.handOvers().active()
                 || mWatches.watching()
                 || mState.mSidecars.values().stream().anyMatch(SidecarView::active);
     }
@@ -162,7 +179,7 @@
 
     /** Returns a heartbeat to another entry. */
     public PoolMessage.Ping peerHeartbeat() {
-        return mState.heartbeat(false);
+        return mState.peerHeartbeat();
     }
 
     /** Returns whether a job is admitted and not yet answered. */
@@ -203,9 +220,43 @@
                     mEvacuations.onPeerRevision(peer, hello.evacuationRevision());
             case PoolMessage.EvacuationPush push -> mEvacuations.onReceived(push, peer);
             case PoolMessage.JobCancellation cancellation -> mJobs.cancel(cancellation.job());
-            default -> {
+            case PoolMessage.HandOver handOver -> onHandOver(peer, handOver);
+            case PoolMessage.HandOverCancellation cancellation ->
+                    mTaken.find(peer, cancellation.number()).ifPresent(mJobs::onCallerLost);
+            case PoolMessage.HandOverAnswer answer -> mJobs.handOvers().onAnswer(answer);
+            case PoolMessage.ConfigurationPush push -> {
                 // PeerController has handled it.
             }
+            default ->
+                    throw new IllegalArgumentException(
+                            "Unexpected message from an entry: " + message);
         }
     }
+
+    /** Handles what another entry tells of itself on the connection that this one opened. */
+    private void onPeerAnswered(NodeId peer, PoolMessage message) {
+        if (message instanceof PoolMessage.Ping ping) {
+            mJobs.handOvers().onLoad(peer, ping.load());
+        }
+    }
+
+    /** Serves the job of another entry, unless callers should not send jobs here either. */
+    private void onHandOver(NodeId peer, PoolMessage.HandOver handOver) {
+        if (ready()) {
+            long token = mTaken.add(peer, handOver.number());
+            long deadline = mState.mNow + handOver.remainingMillis();
+            mJobs.serve(token, handOver.job().withDeadline(deadline));
+        } else {
+            PoolMessage declined =
+                    new PoolMessage.HandOverAnswer(handOver.number(), Optional.empty());
+            mState.mActions.add(new PoolEntryAction.AnswerPeer(peer, declined));
+        }
+    }
+
+    /**
+     * Abandons the jobs of another entry, which has lost its callers or will take them for lost.
+     */
+    private void abandonRequestsOf(NodeId peer) {
+        mTaken.requestsOf(peer).forEach(mJobs::onCallerLost);
+    }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCounter.java
@@ -4,7 +4,7 @@
 
 /** The counters of a pool entry. */
 public enum PoolEntryCounter {
-    /** Requests to run a job, joined ones included. */
+    /** Requests to serve a job here, joined and taken-over ones included. */
     JOBS_SUBMITTED,
     /** Jobs that succeeded. */
     JOBS_SUCCEEDED,
@@ -46,6 +46,14 @@
     SIDECARS_LOST,
     /** Configurations put in force. */
     CONFIGURATIONS_APPLIED,
+    /** Jobs that another entry was asked to answer. */
+    JOBS_HANDED_OVER,
+    /** Jobs that this entry was asked to answer for another one, and did not decline. */
+    JOBS_TAKEN_OVER,
+    /** Jobs that the other entry has declined, so that they were served here. */
+    HAND_OVERS_DECLINED,
+    /** Jobs that were abandoned as the entry that had taken them over was lost. */
+    HAND_OVERS_LOST,
     /** Changes of the evacuated data centres put in force. */
     EVACUATIONS_APPLIED;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryEvent.java
@@ -50,6 +50,9 @@
      */
     record PeerSent(NodeId peer, PoolMessage message) implements PoolEntryEvent {}
 
+    /** The connection that another entry opened was closed or replaced. */
+    record PeerClosed(NodeId peer) implements PoolEntryEvent {}
+
     /** The next tick is due. */
     record Tick() implements PoolEntryEvent {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.EntryLoad;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.pool.evacuation.EvacuationState;
@@ -61,6 +62,9 @@
     /** When the next tick is due, in milliseconds since the epoch; 0 for at once. */
     long mNextTickAt;
 
+    /** The load that callers put on this entry. */
+    EntryLoad mLoad = EntryLoad.UNKNOWN;
+
     final EvacuationState mEvacuation = new EvacuationState();
     final ProcessTimeline mTimeline = new ProcessTimeline();
     final Quarantine mQuarantine = new Quarantine();
@@ -86,13 +90,21 @@
 
     /** Sends a heartbeat to a sidecar. */
     void ping(SidecarView sidecar) {
-        send(sidecar, heartbeat(sidecar.watched()));
+        send(
+                sidecar,
+                new PoolMessage.Ping(
+                        mConfiguration.version(),
+                        sidecar.watched(),
+                        mEvacuation.current().revision()));
     }
 
-    /** Returns a heartbeat with what this entry knows. */
-    PoolMessage.Ping heartbeat(boolean watching) {
+    /** Returns a heartbeat to another entry. */
+    PoolMessage.Ping peerHeartbeat() {
         return new PoolMessage.Ping(
-                mConfiguration.version(), watching, mEvacuation.current().revision());
+                mConfiguration.version(),
+                false,
+                mEvacuation.current().revision(),
+                leaving() ? EntryLoad.UNKNOWN : mLoad);
     }
 
     /** Requests that a message be sent to a sidecar; drops it if the sidecar is not connected. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/connection/PoolAcceptor.java
@@ -46,13 +46,13 @@
         /** Called when another entry has sent its first message. */
         void peerAnnounced(PoolMessage.PeerHello hello);
 
+        /** Called when the connection of another entry was closed or replaced by a newer one. */
+        void peerClosed(NodeId peer);
+
         /** Called when any other message from another entry has arrived. */
         void peerSent(NodeId peer, PoolMessage message);
 
-        /**
-         * Returns the heartbeat that is sent in reply to each message of another entry except its
-         * first.
-         */
+        /** Returns the heartbeat that is sent in reply to each ping of another entry. */
         PoolMessage.Ping heartbeat();
     }
 
@@ -69,6 +69,7 @@
 
     private final NodeChannels mSidecarChannels = new NodeChannels();
     private final Map<WireChannel, NodeId> mPeersByChannel = new HashMap<>();
+    private final Map<NodeId, WireChannel> mPeerChannels = new HashMap<>();
 
     /**
      * Creates an acceptor; it listens after {@link #start}.
@@ -112,6 +113,14 @@
         mSidecarChannels.disconnect(sidecar);
     }
 
+    /** Queues a message to another entry on the connection that it opened. */
+    public void sendToPeer(NodeId peer, PoolMessage message) {
+        WireChannel channel = mPeerChannels.get(peer);
+        if (channel != null) {
+            mSidecarChannels.write(channel, message);
+        }
+    }
+
     /** Sends the queued messages. */
     public void flush() {
         mSidecarChannels.flush();
@@ -131,10 +140,7 @@
     private void onReceived(WireChannel channel, PoolMessage message) {
         switch (message) {
             case PoolMessage.Hello hello -> onHello(channel, hello);
-            case PoolMessage.PeerHello hello -> {
-                mPeersByChannel.put(channel, hello.entry());
-                mListener.peerAnnounced(hello);
-            }
+            case PoolMessage.PeerHello hello -> onPeerHello(channel, hello);
             default -> onMessage(channel, message);
         }
     }
@@ -146,11 +152,22 @@
         if (sidecar.isPresent()) {
             mListener.sidecarSent(sidecar.get(), message);
         } else if (peer != null) {
-            mSidecarChannels.write(channel, mListener.heartbeat());
+            if (message instanceof PoolMessage.Ping) {
+                mSidecarChannels.write(channel, mListener.heartbeat());
+            }
             mListener.peerSent(peer, message);
         }
     }
 
+    private void onPeerHello(WireChannel channel, PoolMessage.PeerHello hello) {
+        mPeersByChannel.put(channel, hello.entry());
+        WireChannel before = mPeerChannels.put(hello.entry(), channel);
+        if (before != null && before != channel) {
+            mListener.peerClosed(hello.entry());
+        }
+        mListener.peerAnnounced(hello);
+    }
+
     private void onHello(WireChannel channel, PoolMessage.Hello hello) {
         if (mSidecarChannels.bind(hello.sidecar(), channel)) {
             mListener.sidecarLost(hello.sidecar());
@@ -160,7 +177,10 @@
 
     private void onClosed(WireChannel channel) {
         mChannels.remove(channel);
-        mPeersByChannel.remove(channel);
+        NodeId peer = mPeersByChannel.remove(channel);
+        if (peer != null && mPeerChannels.remove(peer, channel)) {
+            mListener.peerClosed(peer);
+        }
         mSidecarChannels.unbind(channel).ifPresent(mListener::sidecarLost);
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 import java.util.Set;
+import org.jackdawsaddle.internal.message.EntryLoad;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ConfigurationPush;
 import org.jackdawsaddle.internal.message.PoolMessage.EvacuationPush;
+import org.jackdawsaddle.internal.message.PoolMessage.HandOver;
+import org.jackdawsaddle.internal.message.PoolMessage.HandOverAnswer;
+import org.jackdawsaddle.internal.message.PoolMessage.HandOverCancellation;
 import org.jackdawsaddle.internal.message.PoolMessage.Hello;
 import org.jackdawsaddle.internal.message.PoolMessage.JobCancellation;
 import org.jackdawsaddle.internal.message.PoolMessage.Members;
@@ -57,11 +61,12 @@
                                     start.tasks().stream().map(PoolMessageCodec::encode).toList());
             case Stop stop -> envelope.getPoolStopBuilder().addAllRuns(encode(stop.runs()));
             case Resume resume -> envelope.getPoolResumeBuilder().addAllRuns(encode(resume.runs()));
-            case Ping ping ->
-                    envelope.getPoolPingBuilder()
-                            .setConfigurationVersion(ping.configurationVersion())
-                            .setWatching(ping.watching())
-                            .setEvacuationRevision(ping.evacuationRevision());
+            case Ping ping -> encode(ping, envelope);
+            case HandOver handOver -> envelope.setPoolHandOver(HandOverCodec.encode(handOver));
+            case HandOverAnswer answer ->
+                    envelope.setPoolHandOverAnswer(HandOverCodec.encode(answer));
+            case HandOverCancellation cancellation ->
+                    envelope.getPoolHandOverCancellationBuilder().setNumber(cancellation.number());
             case PeerHello hello ->
                     envelope.getPoolPeerHelloBuilder()
                             .setEntry(WireCodec.encode(hello.entry()))
@@ -83,6 +88,15 @@
         }
     }
 
+    private static void encode(Ping ping, Envelope.Builder envelope) {
+        envelope.getPoolPingBuilder()
+                .setConfigurationVersion(ping.configurationVersion())
+                .setWatching(ping.watching())
+                .setEvacuationRevision(ping.evacuationRevision())
+                .setProcessorCores(ping.load().processorCores())
+                .setTasksPerSecond(ping.load().tasksPerSecond());
+    }
+
     private static void encode(Hello hello, Envelope.Builder envelope) {
         envelope.getPoolHelloBuilder()
                 .setSidecar(WireCodec.encode(hello.sidecar()))
@@ -115,11 +129,11 @@
             case POOL_START -> decode(envelope.getPoolStart());
             case POOL_STOP -> new Stop(decode(envelope.getPoolStop().getRunsList()));
             case POOL_RESUME -> new Resume(decode(envelope.getPoolResume().getRunsList()));
-            case POOL_PING ->
-                    new Ping(
-                            envelope.getPoolPing().getConfigurationVersion(),
-                            envelope.getPoolPing().getWatching(),
-                            envelope.getPoolPing().getEvacuationRevision());
+            case POOL_PING -> decode(envelope.getPoolPing());
+            case POOL_HAND_OVER -> HandOverCodec.decode(envelope.getPoolHandOver());
+            case POOL_HAND_OVER_ANSWER -> HandOverCodec.decode(envelope.getPoolHandOverAnswer());
+            case POOL_HAND_OVER_CANCELLATION ->
+                    new HandOverCancellation(envelope.getPoolHandOverCancellation().getNumber());
             case POOL_PEER_HELLO ->
                     new PeerHello(
                             WireCodec.decode(envelope.getPoolPeerHello().getEntry()),
@@ -151,6 +165,14 @@
                 hello.getEvacuationRevision());
     }
 
+    private static Ping decode(Wire.PoolPing ping) {
+        return new Ping(
+                ping.getConfigurationVersion(),
+                ping.getWatching(),
+                ping.getEvacuationRevision(),
+                new EntryLoad(ping.getProcessorCores(), ping.getTasksPerSecond()));
+    }
+
     private static EvacuationPush decode(Wire.PoolEvacuationPush push) {
         return new EvacuationPush(
                 new Evacuation(push.getRevision(), Set.copyOf(push.getDataCentresList())));
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
@@ -75,7 +75,10 @@
                     POOL_MEMBERS,
                     POOL_CONFIGURATION_PUSH,
                     POOL_EVACUATION_PUSH,
-                    POOL_JOB_CANCELLATION ->
+                    POOL_JOB_CANCELLATION,
+                    POOL_HAND_OVER,
+                    POOL_HAND_OVER_ANSWER,
+                    POOL_HAND_OVER_CANCELLATION ->
                     PoolMessageCodec.decode(envelope);
             case BODY_NOT_SET ->
                     throw new IllegalArgumentException("Envelope contains no known message");
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -585,6 +585,51 @@
      */
     org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder getPoolJobCancellationOrBuilder();
 
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     * @return Whether the poolHandOver field is set.
+     */
+    boolean hasPoolHandOver();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     * @return The poolHandOver.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getPoolHandOver();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder getPoolHandOverOrBuilder();
+
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     * @return Whether the poolHandOverAnswer field is set.
+     */
+    boolean hasPoolHandOverAnswer();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     * @return The poolHandOverAnswer.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getPoolHandOverAnswer();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder getPoolHandOverAnswerOrBuilder();
+
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     * @return Whether the poolHandOverCancellation field is set.
+     */
+    boolean hasPoolHandOverCancellation();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     * @return The poolHandOverCancellation.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getPoolHandOverCancellation();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder getPoolHandOverCancellationOrBuilder();
+
     org.jackdawsaddle.internal.wire.proto.Wire.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -672,6 +717,9 @@
       POOL_CONFIGURATION_PUSH(36),
       POOL_EVACUATION_PUSH(37),
       POOL_JOB_CANCELLATION(38),
+      POOL_HAND_OVER(39),
+      POOL_HAND_OVER_ANSWER(40),
+      POOL_HAND_OVER_CANCELLATION(41),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -726,6 +774,9 @@
           case 36: return POOL_CONFIGURATION_PUSH;
           case 37: return POOL_EVACUATION_PUSH;
           case 38: return POOL_JOB_CANCELLATION;
+          case 39: return POOL_HAND_OVER;
+          case 40: return POOL_HAND_OVER_ANSWER;
+          case 41: return POOL_HAND_OVER_CANCELLATION;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1888,6 +1939,99 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
     }
 
+    public static final int POOL_HAND_OVER_FIELD_NUMBER = 39;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     * @return Whether the poolHandOver field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolHandOver() {
+      return bodyCase_ == 39;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     * @return The poolHandOver.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getPoolHandOver() {
+      if (bodyCase_ == 39) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder getPoolHandOverOrBuilder() {
+      if (bodyCase_ == 39) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+    }
+
+    public static final int POOL_HAND_OVER_ANSWER_FIELD_NUMBER = 40;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     * @return Whether the poolHandOverAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolHandOverAnswer() {
+      return bodyCase_ == 40;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     * @return The poolHandOverAnswer.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getPoolHandOverAnswer() {
+      if (bodyCase_ == 40) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder getPoolHandOverAnswerOrBuilder() {
+      if (bodyCase_ == 40) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+    }
+
+    public static final int POOL_HAND_OVER_CANCELLATION_FIELD_NUMBER = 41;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     * @return Whether the poolHandOverCancellation field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolHandOverCancellation() {
+      return bodyCase_ == 41;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     * @return The poolHandOverCancellation.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getPoolHandOverCancellation() {
+      if (bodyCase_ == 41) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder getPoolHandOverCancellationOrBuilder() {
+      if (bodyCase_ == 41) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2013,6 +2157,15 @@
       if (bodyCase_ == 38) {
         output.writeMessage(38, (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_);
       }
+      if (bodyCase_ == 39) {
+        output.writeMessage(39, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_);
+      }
+      if (bodyCase_ == 40) {
+        output.writeMessage(40, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_);
+      }
+      if (bodyCase_ == 41) {
+        output.writeMessage(41, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2169,6 +2322,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(38, (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) body_);
       }
+      if (bodyCase_ == 39) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(39, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_);
+      }
+      if (bodyCase_ == 40) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(40, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_);
+      }
+      if (bodyCase_ == 41) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(41, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2344,6 +2509,18 @@
           if (!getPoolJobCancellation()
               .equals(other.getPoolJobCancellation())) return false;
           break;
+        case 39:
+          if (!getPoolHandOver()
+              .equals(other.getPoolHandOver())) return false;
+          break;
+        case 40:
+          if (!getPoolHandOverAnswer()
+              .equals(other.getPoolHandOverAnswer())) return false;
+          break;
+        case 41:
+          if (!getPoolHandOverCancellation()
+              .equals(other.getPoolHandOverCancellation())) return false;
+          break;
         case 0:
         default:
       }
@@ -2507,6 +2684,18 @@
           hash = (37 * hash) + POOL_JOB_CANCELLATION_FIELD_NUMBER;
           hash = (53 * hash) + getPoolJobCancellation().hashCode();
           break;
+        case 39:
+          hash = (37 * hash) + POOL_HAND_OVER_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolHandOver().hashCode();
+          break;
+        case 40:
+          hash = (37 * hash) + POOL_HAND_OVER_ANSWER_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolHandOverAnswer().hashCode();
+          break;
+        case 41:
+          hash = (37 * hash) + POOL_HAND_OVER_CANCELLATION_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolHandOverCancellation().hashCode();
+          break;
         case 0:
         default:
       }
@@ -2753,6 +2942,15 @@
         if (poolJobCancellationBuilder_ != null) {
           poolJobCancellationBuilder_.clear();
         }
+        if (poolHandOverBuilder_ != null) {
+          poolHandOverBuilder_.clear();
+        }
+        if (poolHandOverAnswerBuilder_ != null) {
+          poolHandOverAnswerBuilder_.clear();
+        }
+        if (poolHandOverCancellationBuilder_ != null) {
+          poolHandOverCancellationBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -2947,6 +3145,18 @@
             poolJobCancellationBuilder_ != null) {
           result.body_ = poolJobCancellationBuilder_.build();
         }
+        if (bodyCase_ == 39 &&
+            poolHandOverBuilder_ != null) {
+          result.body_ = poolHandOverBuilder_.build();
+        }
+        if (bodyCase_ == 40 &&
+            poolHandOverAnswerBuilder_ != null) {
+          result.body_ = poolHandOverAnswerBuilder_.build();
+        }
+        if (bodyCase_ == 41 &&
+            poolHandOverCancellationBuilder_ != null) {
+          result.body_ = poolHandOverCancellationBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3110,6 +3320,18 @@
             mergePoolJobCancellation(other.getPoolJobCancellation());
             break;
           }
+          case POOL_HAND_OVER: {
+            mergePoolHandOver(other.getPoolHandOver());
+            break;
+          }
+          case POOL_HAND_OVER_ANSWER: {
+            mergePoolHandOverAnswer(other.getPoolHandOverAnswer());
+            break;
+          }
+          case POOL_HAND_OVER_CANCELLATION: {
+            mergePoolHandOverCancellation(other.getPoolHandOverCancellation());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3397,6 +3619,27 @@
                 bodyCase_ = 38;
                 break;
               } // case 306
+              case 314: {
+                input.readMessage(
+                    internalGetPoolHandOverFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 39;
+                break;
+              } // case 314
+              case 322: {
+                input.readMessage(
+                    internalGetPoolHandOverAnswerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 40;
+                break;
+              } // case 322
+              case 330: {
+                input.readMessage(
+                    internalGetPoolHandOverCancellationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 41;
+                break;
+              } // case 330
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8610,6 +8853,426 @@
         return poolJobCancellationBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder> poolHandOverBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       * @return Whether the poolHandOver field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolHandOver() {
+        return bodyCase_ == 39;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       * @return The poolHandOver.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getPoolHandOver() {
+        if (poolHandOverBuilder_ == null) {
+          if (bodyCase_ == 39) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 39) {
+            return poolHandOverBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      public Builder setPoolHandOver(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver value) {
+        if (poolHandOverBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolHandOverBuilder_.setMessage(value);
+        }
+        bodyCase_ = 39;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      public Builder setPoolHandOver(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder builderForValue) {
+        if (poolHandOverBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolHandOverBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 39;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      public Builder mergePoolHandOver(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver value) {
+        if (poolHandOverBuilder_ == null) {
+          if (bodyCase_ == 39 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 39) {
+            poolHandOverBuilder_.mergeFrom(value);
+          } else {
+            poolHandOverBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 39;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      public Builder clearPoolHandOver() {
+        if (poolHandOverBuilder_ == null) {
+          if (bodyCase_ == 39) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 39) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolHandOverBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder getPoolHandOverBuilder() {
+        return internalGetPoolHandOverFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder getPoolHandOverOrBuilder() {
+        if ((bodyCase_ == 39) && (poolHandOverBuilder_ != null)) {
+          return poolHandOverBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 39) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOver pool_hand_over = 39;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder> 
+          internalGetPoolHandOverFieldBuilder() {
+        if (poolHandOverBuilder_ == null) {
+          if (!(bodyCase_ == 39)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+          }
+          poolHandOverBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 39;
+        onChanged();
+        return poolHandOverBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder> poolHandOverAnswerBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       * @return Whether the poolHandOverAnswer field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolHandOverAnswer() {
+        return bodyCase_ == 40;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       * @return The poolHandOverAnswer.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getPoolHandOverAnswer() {
+        if (poolHandOverAnswerBuilder_ == null) {
+          if (bodyCase_ == 40) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 40) {
+            return poolHandOverAnswerBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      public Builder setPoolHandOverAnswer(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer value) {
+        if (poolHandOverAnswerBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolHandOverAnswerBuilder_.setMessage(value);
+        }
+        bodyCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      public Builder setPoolHandOverAnswer(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder builderForValue) {
+        if (poolHandOverAnswerBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolHandOverAnswerBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      public Builder mergePoolHandOverAnswer(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer value) {
+        if (poolHandOverAnswerBuilder_ == null) {
+          if (bodyCase_ == 40 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 40) {
+            poolHandOverAnswerBuilder_.mergeFrom(value);
+          } else {
+            poolHandOverAnswerBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 40;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      public Builder clearPoolHandOverAnswer() {
+        if (poolHandOverAnswerBuilder_ == null) {
+          if (bodyCase_ == 40) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 40) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolHandOverAnswerBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder getPoolHandOverAnswerBuilder() {
+        return internalGetPoolHandOverAnswerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder getPoolHandOverAnswerOrBuilder() {
+        if ((bodyCase_ == 40) && (poolHandOverAnswerBuilder_ != null)) {
+          return poolHandOverAnswerBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 40) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverAnswer pool_hand_over_answer = 40;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder> 
+          internalGetPoolHandOverAnswerFieldBuilder() {
+        if (poolHandOverAnswerBuilder_ == null) {
+          if (!(bodyCase_ == 40)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+          }
+          poolHandOverAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 40;
+        onChanged();
+        return poolHandOverAnswerBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder> poolHandOverCancellationBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       * @return Whether the poolHandOverCancellation field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolHandOverCancellation() {
+        return bodyCase_ == 41;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       * @return The poolHandOverCancellation.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getPoolHandOverCancellation() {
+        if (poolHandOverCancellationBuilder_ == null) {
+          if (bodyCase_ == 41) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 41) {
+            return poolHandOverCancellationBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      public Builder setPoolHandOverCancellation(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation value) {
+        if (poolHandOverCancellationBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolHandOverCancellationBuilder_.setMessage(value);
+        }
+        bodyCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      public Builder setPoolHandOverCancellation(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder builderForValue) {
+        if (poolHandOverCancellationBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolHandOverCancellationBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      public Builder mergePoolHandOverCancellation(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation value) {
+        if (poolHandOverCancellationBuilder_ == null) {
+          if (bodyCase_ == 41 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 41) {
+            poolHandOverCancellationBuilder_.mergeFrom(value);
+          } else {
+            poolHandOverCancellationBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 41;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      public Builder clearPoolHandOverCancellation() {
+        if (poolHandOverCancellationBuilder_ == null) {
+          if (bodyCase_ == 41) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 41) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolHandOverCancellationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder getPoolHandOverCancellationBuilder() {
+        return internalGetPoolHandOverCancellationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder getPoolHandOverCancellationOrBuilder() {
+        if ((bodyCase_ == 41) && (poolHandOverCancellationBuilder_ != null)) {
+          return poolHandOverCancellationBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 41) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolHandOverCancellation pool_hand_over_cancellation = 41;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder> 
+          internalGetPoolHandOverCancellationFieldBuilder() {
+        if (poolHandOverCancellationBuilder_ == null) {
+          if (!(bodyCase_ == 41)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+          }
+          poolHandOverCancellationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 41;
+        onChanged();
+        return poolHandOverCancellationBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Envelope)
     }
 
@@ -41312,6 +41975,18 @@
      * @return The evacuationRevision.
      */
     long getEvacuationRevision();
+
+    /**
+     * <code>double processor_cores = 4;</code>
+     * @return The processorCores.
+     */
+    double getProcessorCores();
+
+    /**
+     * <code>double tasks_per_second = 5;</code>
+     * @return The tasksPerSecond.
+     */
+    double getTasksPerSecond();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolPing}
@@ -41388,6 +42063,28 @@
       return evacuationRevision_;
     }
 
+    public static final int PROCESSOR_CORES_FIELD_NUMBER = 4;
+    private double processorCores_ = 0D;
+    /**
+     * <code>double processor_cores = 4;</code>
+     * @return The processorCores.
+     */
+    @java.lang.Override
+    public double getProcessorCores() {
+      return processorCores_;
+    }
+
+    public static final int TASKS_PER_SECOND_FIELD_NUMBER = 5;
+    private double tasksPerSecond_ = 0D;
+    /**
+     * <code>double tasks_per_second = 5;</code>
+     * @return The tasksPerSecond.
+     */
+    @java.lang.Override
+    public double getTasksPerSecond() {
+      return tasksPerSecond_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -41411,6 +42108,12 @@
       if (evacuationRevision_ != 0L) {
         output.writeUInt64(3, evacuationRevision_);
       }
+      if (java.lang.Double.doubleToRawLongBits(processorCores_) != 0) {
+        output.writeDouble(4, processorCores_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(tasksPerSecond_) != 0) {
+        output.writeDouble(5, tasksPerSecond_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -41427,6 +42130,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, evacuationRevision_);
       }
+      if (java.lang.Double.doubleToRawLongBits(processorCores_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(4, processorCores_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(tasksPerSecond_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(5, tasksPerSecond_);
+      }
       return size;
     }
     @java.lang.Override
@@ -41457,6 +42168,12 @@
           != other.getWatching()) return false;
       if (getEvacuationRevision()
           != other.getEvacuationRevision()) return false;
+      if (java.lang.Double.doubleToLongBits(getProcessorCores())
+          != java.lang.Double.doubleToLongBits(
+              other.getProcessorCores())) return false;
+      if (java.lang.Double.doubleToLongBits(getTasksPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getTasksPerSecond())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -41477,6 +42194,12 @@
       hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEvacuationRevision());
+      hash = (37 * hash) + PROCESSOR_CORES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getProcessorCores()));
+      hash = (37 * hash) + TASKS_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getTasksPerSecond()));
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -41611,6 +42334,8 @@
         configurationVersion_ = 0L;
         watching_ = false;
         evacuationRevision_ = 0L;
+        processorCores_ = 0D;
+        tasksPerSecond_ = 0D;
         return this;
       }
 
@@ -41653,6 +42378,12 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.evacuationRevision_ = evacuationRevision_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.processorCores_ = processorCores_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.tasksPerSecond_ = tasksPerSecond_;
+        }
       }
 
       @java.lang.Override
@@ -41676,6 +42407,12 @@
         if (other.getEvacuationRevision() != 0L) {
           setEvacuationRevision(other.getEvacuationRevision());
         }
+        if (java.lang.Double.doubleToRawLongBits(other.getProcessorCores()) != 0) {
+          setProcessorCores(other.getProcessorCores());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getTasksPerSecond()) != 0) {
+          setTasksPerSecond(other.getTasksPerSecond());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -41715,6 +42452,16 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 33: {
+                processorCores_ = input.readDouble();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
+              case 41: {
+                tasksPerSecond_ = input.readDouble();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 41
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -41828,6 +42575,70 @@
         return this;
       }
 
+      private double processorCores_ ;
+      /**
+       * <code>double processor_cores = 4;</code>
+       * @return The processorCores.
+       */
+      @java.lang.Override
+      public double getProcessorCores() {
+        return processorCores_;
+      }
+      /**
+       * <code>double processor_cores = 4;</code>
+       * @param value The processorCores to set.
+       * @return This builder for chaining.
+       */
+      public Builder setProcessorCores(double value) {
+
+        processorCores_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>double processor_cores = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearProcessorCores() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        processorCores_ = 0D;
+        onChanged();
+        return this;
+      }
+
+      private double tasksPerSecond_ ;
+      /**
+       * <code>double tasks_per_second = 5;</code>
+       * @return The tasksPerSecond.
+       */
+      @java.lang.Override
+      public double getTasksPerSecond() {
+        return tasksPerSecond_;
+      }
+      /**
+       * <code>double tasks_per_second = 5;</code>
+       * @param value The tasksPerSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTasksPerSecond(double value) {
+
+        tasksPerSecond_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>double tasks_per_second = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTasksPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        tasksPerSecond_ = 0D;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolPing)
     }
 
@@ -43920,29 +44731,91 @@
 
   }
 
-  public interface PoolJobCancellationOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolJobCancellation)
+  public interface PoolStepOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolStep)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string job = 1;</code>
-     * @return The job.
+     * <code>int32 tasks = 1;</code>
+     * @return The tasks.
      */
-    java.lang.String getJob();
+    int getTasks();
+
     /**
-     * <code>string job = 1;</code>
-     * @return The bytes for job.
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     * @return Whether the demand field is set.
+     */
+    boolean hasDemand();
+    /**
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     * @return The demand.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.Demand getDemand();
+    /**
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder getDemandOrBuilder();
+
+    /**
+     * <code>int64 expected_millis = 3;</code>
+     * @return The expectedMillis.
+     */
+    long getExpectedMillis();
+
+    /**
+     * <code>repeated int32 after = 4;</code>
+     * @return A list containing the after.
+     */
+    java.util.List<java.lang.Integer> getAfterList();
+    /**
+     * <code>repeated int32 after = 4;</code>
+     * @return The count of after.
+     */
+    int getAfterCount();
+    /**
+     * <code>repeated int32 after = 4;</code>
+     * @param index The index of the element to return.
+     * @return The after at the given index.
+     */
+    int getAfter(int index);
+
+    /**
+     * <code>string required_label = 5;</code>
+     * @return The requiredLabel.
+     */
+    java.lang.String getRequiredLabel();
+    /**
+     * <code>string required_label = 5;</code>
+     * @return The bytes for requiredLabel.
      */
     com.google.protobuf.ByteString
-        getJobBytes();
+        getRequiredLabelBytes();
+
+    /**
+     * <code>string preferred_label = 6;</code>
+     * @return The preferredLabel.
+     */
+    java.lang.String getPreferredLabel();
+    /**
+     * <code>string preferred_label = 6;</code>
+     * @return The bytes for preferredLabel.
+     */
+    com.google.protobuf.ByteString
+        getPreferredLabelBytes();
+
+    /**
+     * <code>int32 max_per_target = 7;</code>
+     * @return The maxPerTarget.
+     */
+    int getMaxPerTarget();
   }
   /**
-   * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolStep}
    */
-  public static final class PoolJobCancellation extends
+  public static final class PoolStep extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolJobCancellation)
-      PoolJobCancellationOrBuilder {
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolStep)
+      PoolStepOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -43951,73 +44824,204 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "PoolJobCancellation");
+        "PoolStep");
     }
-    // Use PoolJobCancellation.newBuilder() to construct.
-    private PoolJobCancellation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use PoolStep.newBuilder() to construct.
+    private PoolStep(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private PoolJobCancellation() {
-      job_ = "";
+    private PoolStep() {
+      after_ = emptyIntList();
+      requiredLabel_ = "";
+      preferredLabel_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder.class);
     }
 
-    public static final int JOB_FIELD_NUMBER = 1;
+    private int bitField0_;
+    public static final int TASKS_FIELD_NUMBER = 1;
+    private int tasks_ = 0;
+    /**
+     * <code>int32 tasks = 1;</code>
+     * @return The tasks.
+     */
+    @java.lang.Override
+    public int getTasks() {
+      return tasks_;
+    }
+
+    public static final int DEMAND_FIELD_NUMBER = 2;
+    private org.jackdawsaddle.internal.wire.proto.Wire.Demand demand_;
+    /**
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     * @return Whether the demand field is set.
+     */
+    @java.lang.Override
+    public boolean hasDemand() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.Demand getDemand() {
+      return demand_ == null ? org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance() : demand_;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder getDemandOrBuilder() {
+      return demand_ == null ? org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance() : demand_;
+    }
+
+    public static final int EXPECTED_MILLIS_FIELD_NUMBER = 3;
+    private long expectedMillis_ = 0L;
+    /**
+     * <code>int64 expected_millis = 3;</code>
+     * @return The expectedMillis.
+     */
+    @java.lang.Override
+    public long getExpectedMillis() {
+      return expectedMillis_;
+    }
+
+    public static final int AFTER_FIELD_NUMBER = 4;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object job_ = "";
+    private com.google.protobuf.Internal.IntList after_ =
+        emptyIntList();
     /**
-     * <code>string job = 1;</code>
-     * @return The job.
+     * <code>repeated int32 after = 4;</code>
+     * @return A list containing the after.
      */
     @java.lang.Override
-    public java.lang.String getJob() {
-      java.lang.Object ref = job_;
+    public java.util.List<java.lang.Integer>
+        getAfterList() {
+      return after_;
+    }
+    /**
+     * <code>repeated int32 after = 4;</code>
+     * @return The count of after.
+     */
+    public int getAfterCount() {
+      return after_.size();
+    }
+    /**
+     * <code>repeated int32 after = 4;</code>
+     * @param index The index of the element to return.
+     * @return The after at the given index.
+     */
+    public int getAfter(int index) {
+      return after_.getInt(index);
+    }
+    private int afterMemoizedSerializedSize = -1;
+
+    public static final int REQUIRED_LABEL_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object requiredLabel_ = "";
+    /**
+     * <code>string required_label = 5;</code>
+     * @return The requiredLabel.
+     */
+    @java.lang.Override
+    public java.lang.String getRequiredLabel() {
+      java.lang.Object ref = requiredLabel_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        job_ = s;
+        requiredLabel_ = s;
         return s;
       }
     }
     /**
-     * <code>string job = 1;</code>
-     * @return The bytes for job.
+     * <code>string required_label = 5;</code>
+     * @return The bytes for requiredLabel.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getJobBytes() {
-      java.lang.Object ref = job_;
+        getRequiredLabelBytes() {
+      java.lang.Object ref = requiredLabel_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        job_ = b;
+        requiredLabel_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PREFERRED_LABEL_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object preferredLabel_ = "";
+    /**
+     * <code>string preferred_label = 6;</code>
+     * @return The preferredLabel.
+     */
+    @java.lang.Override
+    public java.lang.String getPreferredLabel() {
+      java.lang.Object ref = preferredLabel_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        preferredLabel_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string preferred_label = 6;</code>
+     * @return The bytes for preferredLabel.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPreferredLabelBytes() {
+      java.lang.Object ref = preferredLabel_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        preferredLabel_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
+    public static final int MAX_PER_TARGET_FIELD_NUMBER = 7;
+    private int maxPerTarget_ = 0;
+    /**
+     * <code>int32 max_per_target = 7;</code>
+     * @return The maxPerTarget.
+     */
+    @java.lang.Override
+    public int getMaxPerTarget() {
+      return maxPerTarget_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -44032,15 +45036,71 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, job_);
+      getSerializedSize();
+      if (tasks_ != 0) {
+        output.writeInt32(1, tasks_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getDemand());
+      }
+      if (expectedMillis_ != 0L) {
+        output.writeInt64(3, expectedMillis_);
+      }
+      if (getAfterList().size() > 0) {
+        output.writeUInt32NoTag(34);
+        output.writeUInt32NoTag(afterMemoizedSerializedSize);
+      }
+      for (int i = 0; i < after_.size(); i++) {
+        output.writeInt32NoTag(after_.getInt(i));
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requiredLabel_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, requiredLabel_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(preferredLabel_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, preferredLabel_);
+      }
+      if (maxPerTarget_ != 0) {
+        output.writeInt32(7, maxPerTarget_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, job_);
+      if (tasks_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, tasks_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getDemand());
+      }
+      if (expectedMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, expectedMillis_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < after_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(after_.getInt(i));
+        }
+        size += dataSize;
+        if (!getAfterList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        afterMemoizedSerializedSize = dataSize;
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requiredLabel_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, requiredLabel_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(preferredLabel_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, preferredLabel_);
+      }
+      if (maxPerTarget_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(7, maxPerTarget_);
       }
       return size;
     }
@@ -44061,13 +45121,28 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)) {
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolStep)) {
         return super.equals(obj);
       }
-      org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) obj;
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolStep other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolStep) obj;
 
-      if (!getJob()
-          .equals(other.getJob())) return false;
+      if (getTasks()
+          != other.getTasks()) return false;
+      if (hasDemand() != other.hasDemand()) return false;
+      if (hasDemand()) {
+        if (!getDemand()
+            .equals(other.getDemand())) return false;
+      }
+      if (getExpectedMillis()
+          != other.getExpectedMillis()) return false;
+      if (!getAfterList()
+          .equals(other.getAfterList())) return false;
+      if (!getRequiredLabel()
+          .equals(other.getRequiredLabel())) return false;
+      if (!getPreferredLabel()
+          .equals(other.getPreferredLabel())) return false;
+      if (getMaxPerTarget()
+          != other.getMaxPerTarget()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -44079,51 +45154,68 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + JOB_FIELD_NUMBER;
-      hash = (53 * hash) + getJob().hashCode();
+      hash = (37 * hash) + TASKS_FIELD_NUMBER;
+      hash = (53 * hash) + getTasks();
+      if (hasDemand()) {
+        hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+        hash = (53 * hash) + getDemand().hashCode();
+      }
+      hash = (37 * hash) + EXPECTED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getExpectedMillis());
+      if (getAfterCount() > 0) {
+        hash = (37 * hash) + AFTER_FIELD_NUMBER;
+        hash = (53 * hash) + getAfterList().hashCode();
+      }
+      hash = (37 * hash) + REQUIRED_LABEL_FIELD_NUMBER;
+      hash = (53 * hash) + getRequiredLabel().hashCode();
+      hash = (37 * hash) + PREFERRED_LABEL_FIELD_NUMBER;
+      hash = (53 * hash) + getPreferredLabel().hashCode();
+      hash = (37 * hash) + MAX_PER_TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getMaxPerTarget();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(byte[] data)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -44131,26 +45223,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -44163,7 +45255,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation prototype) {
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolStep prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -44179,57 +45271,73 @@
       return builder;
     }
     /**
-     * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolStep}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolJobCancellation)
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder {
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolStep)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder.class);
       }
 
-      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.newBuilder()
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetDemandFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        job_ = "";
+        tasks_ = 0;
+        demand_ = null;
+        if (demandBuilder_ != null) {
+          demandBuilder_.dispose();
+          demandBuilder_ = null;
+        }
+        expectedMillis_ = 0L;
+        after_ = emptyIntList();
+        requiredLabel_ = "";
+        preferredLabel_ = "";
+        maxPerTarget_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolStep_descriptor;
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getDefaultInstanceForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation build() {
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = buildPartial();
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolStep result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
