@@ -44237,35 +45345,3531 @@
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation buildPartial() {
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation(this);
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolStep result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolStep(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result) {
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolStep result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.job_ = job_;
+          result.tasks_ = tasks_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.demand_ = demandBuilder_ == null
+              ? demand_
+              : demandBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.expectedMillis_ = expectedMillis_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          after_.makeImmutable();
+          result.after_ = after_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.requiredLabel_ = requiredLabel_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.preferredLabel_ = preferredLabel_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.maxPerTarget_ = maxPerTarget_;
         }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) {
-          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)other);
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolStep) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolStep)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other) {
-        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance()) return this;
-        if (!other.getJob().isEmpty()) {
-          job_ = other.job_;
-          bitField0_ |= 0x00000001;
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolStep other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.getDefaultInstance()) return this;
+        if (other.getTasks() != 0) {
+          setTasks(other.getTasks());
+        }
+        if (other.hasDemand()) {
+          mergeDemand(other.getDemand());
+        }
+        if (other.getExpectedMillis() != 0L) {
+          setExpectedMillis(other.getExpectedMillis());
+        }
+        if (!other.after_.isEmpty()) {
+          if (after_.isEmpty()) {
+            after_ = other.after_;
+            after_.makeImmutable();
+            bitField0_ |= 0x00000008;
+          } else {
+            ensureAfterIsMutable();
+            after_.addAll(other.after_);
+          }
+          onChanged();
+        }
+        if (!other.getRequiredLabel().isEmpty()) {
+          requiredLabel_ = other.requiredLabel_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        if (!other.getPreferredLabel().isEmpty()) {
+          preferredLabel_ = other.preferredLabel_;
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        if (other.getMaxPerTarget() != 0) {
+          setMaxPerTarget(other.getMaxPerTarget());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                tasks_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                input.readMessage(
+                    internalGetDemandFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                expectedMillis_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                int v = input.readInt32();
+                ensureAfterIsMutable();
+                after_.addInt(v);
+                break;
+              } // case 32
+              case 34: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureAfterIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  after_.addInt(input.readInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 34
+              case 42: {
+                requiredLabel_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              case 50: {
+                preferredLabel_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              case 56: {
+                maxPerTarget_ = input.readInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int tasks_ ;
+      /**
+       * <code>int32 tasks = 1;</code>
+       * @return The tasks.
+       */
+      @java.lang.Override
+      public int getTasks() {
+        return tasks_;
+      }
+      /**
+       * <code>int32 tasks = 1;</code>
+       * @param value The tasks to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTasks(int value) {
+
+        tasks_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 tasks = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTasks() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        tasks_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private org.jackdawsaddle.internal.wire.proto.Wire.Demand demand_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.Demand, org.jackdawsaddle.internal.wire.proto.Wire.Demand.Builder, org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder> demandBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       * @return Whether the demand field is set.
+       */
+      public boolean hasDemand() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       * @return The demand.
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.Demand getDemand() {
+        if (demandBuilder_ == null) {
+          return demand_ == null ? org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance() : demand_;
+        } else {
+          return demandBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public Builder setDemand(org.jackdawsaddle.internal.wire.proto.Wire.Demand value) {
+        if (demandBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          demand_ = value;
+        } else {
+          demandBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public Builder setDemand(
+          org.jackdawsaddle.internal.wire.proto.Wire.Demand.Builder builderForValue) {
+        if (demandBuilder_ == null) {
+          demand_ = builderForValue.build();
+        } else {
+          demandBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public Builder mergeDemand(org.jackdawsaddle.internal.wire.proto.Wire.Demand value) {
+        if (demandBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            demand_ != null &&
+            demand_ != org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance()) {
+            getDemandBuilder().mergeFrom(value);
+          } else {
+            demand_ = value;
+          }
+        } else {
+          demandBuilder_.mergeFrom(value);
+        }
+        if (demand_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public Builder clearDemand() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        demand_ = null;
+        if (demandBuilder_ != null) {
+          demandBuilder_.dispose();
+          demandBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.Demand.Builder getDemandBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetDemandFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder getDemandOrBuilder() {
+        if (demandBuilder_ != null) {
+          return demandBuilder_.getMessageOrBuilder();
+        } else {
+          return demand_ == null ?
+              org.jackdawsaddle.internal.wire.proto.Wire.Demand.getDefaultInstance() : demand_;
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.Demand demand = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.Demand, org.jackdawsaddle.internal.wire.proto.Wire.Demand.Builder, org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder> 
+          internalGetDemandFieldBuilder() {
+        if (demandBuilder_ == null) {
+          demandBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.Demand, org.jackdawsaddle.internal.wire.proto.Wire.Demand.Builder, org.jackdawsaddle.internal.wire.proto.Wire.DemandOrBuilder>(
+                  getDemand(),
+                  getParentForChildren(),
+                  isClean());
+          demand_ = null;
+        }
+        return demandBuilder_;
+      }
+
+      private long expectedMillis_ ;
+      /**
+       * <code>int64 expected_millis = 3;</code>
+       * @return The expectedMillis.
+       */
+      @java.lang.Override
+      public long getExpectedMillis() {
+        return expectedMillis_;
+      }
+      /**
+       * <code>int64 expected_millis = 3;</code>
+       * @param value The expectedMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setExpectedMillis(long value) {
+
+        expectedMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 expected_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearExpectedMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        expectedMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.IntList after_ = emptyIntList();
+      private void ensureAfterIsMutable() {
+        if (!after_.isModifiable()) {
+          after_ = makeMutableCopy(after_);
+        }
+        bitField0_ |= 0x00000008;
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @return A list containing the after.
+       */
+      public java.util.List<java.lang.Integer>
+          getAfterList() {
+        after_.makeImmutable();
+        return after_;
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @return The count of after.
+       */
+      public int getAfterCount() {
+        return after_.size();
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @param index The index of the element to return.
+       * @return The after at the given index.
+       */
+      public int getAfter(int index) {
+        return after_.getInt(index);
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @param index The index to set the value at.
+       * @param value The after to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAfter(
+          int index, int value) {
+
+        ensureAfterIsMutable();
+        after_.setInt(index, value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @param value The after to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAfter(int value) {
+
+        ensureAfterIsMutable();
+        after_.addInt(value);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @param values The after to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllAfter(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureAfterIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, after_);
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated int32 after = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAfter() {
+        after_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object requiredLabel_ = "";
+      /**
+       * <code>string required_label = 5;</code>
+       * @return The requiredLabel.
+       */
+      public java.lang.String getRequiredLabel() {
+        java.lang.Object ref = requiredLabel_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          requiredLabel_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string required_label = 5;</code>
+       * @return The bytes for requiredLabel.
+       */
+      public com.google.protobuf.ByteString
+          getRequiredLabelBytes() {
+        java.lang.Object ref = requiredLabel_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          requiredLabel_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string required_label = 5;</code>
+       * @param value The requiredLabel to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequiredLabel(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        requiredLabel_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string required_label = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequiredLabel() {
+        requiredLabel_ = getDefaultInstance().getRequiredLabel();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string required_label = 5;</code>
+       * @param value The bytes for requiredLabel to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequiredLabelBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        requiredLabel_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object preferredLabel_ = "";
+      /**
+       * <code>string preferred_label = 6;</code>
+       * @return The preferredLabel.
+       */
+      public java.lang.String getPreferredLabel() {
+        java.lang.Object ref = preferredLabel_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          preferredLabel_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string preferred_label = 6;</code>
+       * @return The bytes for preferredLabel.
+       */
+      public com.google.protobuf.ByteString
+          getPreferredLabelBytes() {
+        java.lang.Object ref = preferredLabel_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          preferredLabel_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string preferred_label = 6;</code>
+       * @param value The preferredLabel to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPreferredLabel(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        preferredLabel_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string preferred_label = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPreferredLabel() {
+        preferredLabel_ = getDefaultInstance().getPreferredLabel();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string preferred_label = 6;</code>
+       * @param value The bytes for preferredLabel to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPreferredLabelBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        preferredLabel_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
+      private int maxPerTarget_ ;
+      /**
+       * <code>int32 max_per_target = 7;</code>
+       * @return The maxPerTarget.
+       */
+      @java.lang.Override
+      public int getMaxPerTarget() {
+        return maxPerTarget_;
+      }
+      /**
+       * <code>int32 max_per_target = 7;</code>
+       * @param value The maxPerTarget to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMaxPerTarget(int value) {
+
+        maxPerTarget_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 max_per_target = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMaxPerTarget() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        maxPerTarget_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolStep)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolStep)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolStep DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolStep();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolStep>
+        PARSER = new com.google.protobuf.AbstractParser<PoolStep>() {
+      @java.lang.Override
+      public PoolStep parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolStep> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolStep> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PoolHandOverOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolHandOver)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>string job = 2;</code>
+     * @return The job.
+     */
+    java.lang.String getJob();
+    /**
+     * <code>string job = 2;</code>
+     * @return The bytes for job.
+     */
+    com.google.protobuf.ByteString
+        getJobBytes();
+
+    /**
+     * <code>string queue = 3;</code>
+     * @return The queue.
+     */
+    java.lang.String getQueue();
+    /**
+     * <code>string queue = 3;</code>
+     * @return The bytes for queue.
+     */
+    com.google.protobuf.ByteString
+        getQueueBytes();
+
+    /**
+     * <code>string payload = 4;</code>
+     * @return The payload.
+     */
+    java.lang.String getPayload();
+    /**
+     * <code>string payload = 4;</code>
+     * @return The bytes for payload.
+     */
+    com.google.protobuf.ByteString
+        getPayloadBytes();
+
+    /**
+     * <code>int64 remaining_millis = 5;</code>
+     * @return The remainingMillis.
+     */
+    long getRemainingMillis();
+
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> 
+        getStepsList();
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getSteps(int index);
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    int getStepsCount();
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder> 
+        getStepsOrBuilderList();
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder getStepsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOver}
+   */
+  public static final class PoolHandOver extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolHandOver)
+      PoolHandOverOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolHandOver");
+    }
+    // Use PoolHandOver.newBuilder() to construct.
+    private PoolHandOver(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolHandOver() {
+      job_ = "";
+      queue_ = "";
+      payload_ = "";
+      steps_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int JOB_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object job_ = "";
+    /**
+     * <code>string job = 2;</code>
+     * @return The job.
+     */
+    @java.lang.Override
+    public java.lang.String getJob() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        job_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string job = 2;</code>
+     * @return The bytes for job.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getJobBytes() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        job_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int QUEUE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object queue_ = "";
+    /**
+     * <code>string queue = 3;</code>
+     * @return The queue.
+     */
+    @java.lang.Override
+    public java.lang.String getQueue() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        queue_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string queue = 3;</code>
+     * @return The bytes for queue.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getQueueBytes() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        queue_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PAYLOAD_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object payload_ = "";
+    /**
+     * <code>string payload = 4;</code>
+     * @return The payload.
+     */
+    @java.lang.Override
+    public java.lang.String getPayload() {
+      java.lang.Object ref = payload_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        payload_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string payload = 4;</code>
+     * @return The bytes for payload.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPayloadBytes() {
+      java.lang.Object ref = payload_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        payload_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REMAINING_MILLIS_FIELD_NUMBER = 5;
+    private long remainingMillis_ = 0L;
+    /**
+     * <code>int64 remaining_millis = 5;</code>
+     * @return The remainingMillis.
+     */
+    @java.lang.Override
+    public long getRemainingMillis() {
+      return remainingMillis_;
+    }
+
+    public static final int STEPS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> steps_;
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> getStepsList() {
+      return steps_;
+    }
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder> 
+        getStepsOrBuilderList() {
+      return steps_;
+    }
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    @java.lang.Override
+    public int getStepsCount() {
+      return steps_.size();
+    }
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getSteps(int index) {
+      return steps_.get(index);
+    }
+    /**
+     * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder getStepsOrBuilder(
+        int index) {
+      return steps_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, job_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, queue_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(payload_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, payload_);
+      }
+      if (remainingMillis_ != 0L) {
+        output.writeInt64(5, remainingMillis_);
+      }
+      for (int i = 0; i < steps_.size(); i++) {
+        output.writeMessage(6, steps_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, job_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, queue_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(payload_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, payload_);
+      }
+      if (remainingMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(5, remainingMillis_);
+      }
+
+          {
+            final int count = steps_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(steps_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (!getJob()
+          .equals(other.getJob())) return false;
+      if (!getQueue()
+          .equals(other.getQueue())) return false;
+      if (!getPayload()
+          .equals(other.getPayload())) return false;
+      if (getRemainingMillis()
+          != other.getRemainingMillis()) return false;
+      if (!getStepsList()
+          .equals(other.getStepsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (37 * hash) + JOB_FIELD_NUMBER;
+      hash = (53 * hash) + getJob().hashCode();
+      hash = (37 * hash) + QUEUE_FIELD_NUMBER;
+      hash = (53 * hash) + getQueue().hashCode();
+      hash = (37 * hash) + PAYLOAD_FIELD_NUMBER;
+      hash = (53 * hash) + getPayload().hashCode();
+      hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRemainingMillis());
+      if (getStepsCount() > 0) {
+        hash = (37 * hash) + STEPS_FIELD_NUMBER;
+        hash = (53 * hash) + getStepsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOver}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolHandOver)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        job_ = "";
+        queue_ = "";
+        payload_ = "";
+        remainingMillis_ = 0L;
+        if (stepsBuilder_ == null) {
+          steps_ = java.util.Collections.emptyList();
+        } else {
+          steps_ = null;
+          stepsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver result) {
+        if (stepsBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            steps_ = java.util.Collections.unmodifiableList(steps_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.steps_ = steps_;
+        } else {
+          result.steps_ = stepsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.job_ = job_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queue_ = queue_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.payload_ = payload_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.remainingMillis_ = remainingMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (!other.getJob().isEmpty()) {
+          job_ = other.job_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getQueue().isEmpty()) {
+          queue_ = other.queue_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (!other.getPayload().isEmpty()) {
+          payload_ = other.payload_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (other.getRemainingMillis() != 0L) {
+          setRemainingMillis(other.getRemainingMillis());
+        }
+        if (stepsBuilder_ == null) {
+          if (!other.steps_.isEmpty()) {
+            if (steps_.isEmpty()) {
+              steps_ = other.steps_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureStepsIsMutable();
+              steps_.addAll(other.steps_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.steps_.isEmpty()) {
+            if (stepsBuilder_.isEmpty()) {
+              stepsBuilder_.dispose();
+              stepsBuilder_ = null;
+              steps_ = other.steps_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              stepsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStepsFieldBuilder() : null;
+            } else {
+              stepsBuilder_.addAllMessages(other.steps_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                job_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                queue_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                payload_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 40: {
+                remainingMillis_ = input.readInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolStep m =
+                    input.readMessage(
+                        org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.parser(),
+                        extensionRegistry);
+                if (stepsBuilder_ == null) {
+                  ensureStepsIsMutable();
+                  steps_.add(m);
+                } else {
+                  stepsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object job_ = "";
+      /**
+       * <code>string job = 2;</code>
+       * @return The job.
+       */
+      public java.lang.String getJob() {
+        java.lang.Object ref = job_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          job_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string job = 2;</code>
+       * @return The bytes for job.
+       */
+      public com.google.protobuf.ByteString
+          getJobBytes() {
+        java.lang.Object ref = job_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          job_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string job = 2;</code>
+       * @param value The job to set.
+       * @return This builder for chaining.
+       */
+      public Builder setJob(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        job_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string job = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearJob() {
+        job_ = getDefaultInstance().getJob();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string job = 2;</code>
+       * @param value The bytes for job to set.
+       * @return This builder for chaining.
+       */
+      public Builder setJobBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        job_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object queue_ = "";
+      /**
+       * <code>string queue = 3;</code>
+       * @return The queue.
+       */
+      public java.lang.String getQueue() {
+        java.lang.Object ref = queue_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          queue_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @return The bytes for queue.
+       */
+      public com.google.protobuf.ByteString
+          getQueueBytes() {
+        java.lang.Object ref = queue_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          queue_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @param value The queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueue(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        queue_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueue() {
+        queue_ = getDefaultInstance().getQueue();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string queue = 3;</code>
+       * @param value The bytes for queue to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueueBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        queue_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object payload_ = "";
+      /**
+       * <code>string payload = 4;</code>
+       * @return The payload.
+       */
+      public java.lang.String getPayload() {
+        java.lang.Object ref = payload_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          payload_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string payload = 4;</code>
+       * @return The bytes for payload.
+       */
+      public com.google.protobuf.ByteString
+          getPayloadBytes() {
+        java.lang.Object ref = payload_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          payload_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string payload = 4;</code>
+       * @param value The payload to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPayload(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string payload = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPayload() {
+        payload_ = getDefaultInstance().getPayload();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string payload = 4;</code>
+       * @param value The bytes for payload to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPayloadBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        payload_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      private long remainingMillis_ ;
+      /**
+       * <code>int64 remaining_millis = 5;</code>
+       * @return The remainingMillis.
+       */
+      @java.lang.Override
+      public long getRemainingMillis() {
+        return remainingMillis_;
+      }
+      /**
+       * <code>int64 remaining_millis = 5;</code>
+       * @param value The remainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMillis(long value) {
+
+        remainingMillis_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 remaining_millis = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        remainingMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> steps_ =
+        java.util.Collections.emptyList();
+      private void ensureStepsIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          steps_ = new java.util.ArrayList<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep>(steps_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolStep, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder> stepsBuilder_;
+
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> getStepsList() {
+        if (stepsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(steps_);
+        } else {
+          return stepsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public int getStepsCount() {
+        if (stepsBuilder_ == null) {
+          return steps_.size();
+        } else {
+          return stepsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep getSteps(int index) {
+        if (stepsBuilder_ == null) {
+          return steps_.get(index);
+        } else {
+          return stepsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder setSteps(
+          int index, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep value) {
+        if (stepsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureStepsIsMutable();
+          steps_.set(index, value);
+          onChanged();
+        } else {
+          stepsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder setSteps(
+          int index, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder builderForValue) {
+        if (stepsBuilder_ == null) {
+          ensureStepsIsMutable();
+          steps_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          stepsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder addSteps(org.jackdawsaddle.internal.wire.proto.Wire.PoolStep value) {
+        if (stepsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureStepsIsMutable();
+          steps_.add(value);
+          onChanged();
+        } else {
+          stepsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder addSteps(
+          int index, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep value) {
+        if (stepsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureStepsIsMutable();
+          steps_.add(index, value);
+          onChanged();
+        } else {
+          stepsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder addSteps(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder builderForValue) {
+        if (stepsBuilder_ == null) {
+          ensureStepsIsMutable();
+          steps_.add(builderForValue.build());
+          onChanged();
+        } else {
+          stepsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder addSteps(
+          int index, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder builderForValue) {
+        if (stepsBuilder_ == null) {
+          ensureStepsIsMutable();
+          steps_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          stepsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder addAllSteps(
+          java.lang.Iterable<? extends org.jackdawsaddle.internal.wire.proto.Wire.PoolStep> values) {
+        if (stepsBuilder_ == null) {
+          ensureStepsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, steps_);
+          onChanged();
+        } else {
+          stepsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder clearSteps() {
+        if (stepsBuilder_ == null) {
+          steps_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          stepsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public Builder removeSteps(int index) {
+        if (stepsBuilder_ == null) {
+          ensureStepsIsMutable();
+          steps_.remove(index);
+          onChanged();
+        } else {
+          stepsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder getStepsBuilder(
+          int index) {
+        return internalGetStepsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder getStepsOrBuilder(
+          int index) {
+        if (stepsBuilder_ == null) {
+          return steps_.get(index);  } else {
+          return stepsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public java.util.List<? extends org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder> 
+           getStepsOrBuilderList() {
+        if (stepsBuilder_ != null) {
+          return stepsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(steps_);
+        }
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder addStepsBuilder() {
+        return internalGetStepsFieldBuilder().addBuilder(
+            org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder addStepsBuilder(
+          int index) {
+        return internalGetStepsFieldBuilder().addBuilder(
+            index, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .org.jackdawsaddle.wire.PoolStep steps = 6;</code>
+       */
+      public java.util.List<org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder> 
+           getStepsBuilderList() {
+        return internalGetStepsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolStep, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder> 
+          internalGetStepsFieldBuilder() {
+        if (stepsBuilder_ == null) {
+          stepsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolStep, org.jackdawsaddle.internal.wire.proto.Wire.PoolStep.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolStepOrBuilder>(
+                  steps_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          steps_ = null;
+        }
+        return stepsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolHandOver)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolHandOver)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolHandOver>
+        PARSER = new com.google.protobuf.AbstractParser<PoolHandOver>() {
+      @java.lang.Override
+      public PoolHandOver parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolHandOver> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolHandOver> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOver getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PoolHandOverAnswerOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolHandOverAnswer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>int32 outcome = 2;</code>
+     * @return The outcome.
+     */
+    int getOutcome();
+
+    /**
+     * <code>string reason = 3;</code>
+     * @return The reason.
+     */
+    java.lang.String getReason();
+    /**
+     * <code>string reason = 3;</code>
+     * @return The bytes for reason.
+     */
+    com.google.protobuf.ByteString
+        getReasonBytes();
+
+    /**
+     * <code>int64 retry_millis = 4;</code>
+     * @return The retryMillis.
+     */
+    long getRetryMillis();
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOverAnswer}
+   */
+  public static final class PoolHandOverAnswer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolHandOverAnswer)
+      PoolHandOverAnswerOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolHandOverAnswer");
+    }
+    // Use PoolHandOverAnswer.newBuilder() to construct.
+    private PoolHandOverAnswer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolHandOverAnswer() {
+      reason_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int OUTCOME_FIELD_NUMBER = 2;
+    private int outcome_ = 0;
+    /**
+     * <code>int32 outcome = 2;</code>
+     * @return The outcome.
+     */
+    @java.lang.Override
+    public int getOutcome() {
+      return outcome_;
+    }
+
+    public static final int REASON_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object reason_ = "";
+    /**
+     * <code>string reason = 3;</code>
+     * @return The reason.
+     */
+    @java.lang.Override
+    public java.lang.String getReason() {
+      java.lang.Object ref = reason_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        reason_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string reason = 3;</code>
+     * @return The bytes for reason.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getReasonBytes() {
+      java.lang.Object ref = reason_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        reason_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int RETRY_MILLIS_FIELD_NUMBER = 4;
+    private long retryMillis_ = 0L;
+    /**
+     * <code>int64 retry_millis = 4;</code>
+     * @return The retryMillis.
+     */
+    @java.lang.Override
+    public long getRetryMillis() {
+      return retryMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
+      if (outcome_ != 0) {
+        output.writeInt32(2, outcome_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, reason_);
+      }
+      if (retryMillis_ != 0L) {
+        output.writeInt64(4, retryMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
+      if (outcome_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(2, outcome_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, reason_);
+      }
+      if (retryMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, retryMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (getOutcome()
+          != other.getOutcome()) return false;
+      if (!getReason()
+          .equals(other.getReason())) return false;
+      if (getRetryMillis()
+          != other.getRetryMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+      hash = (53 * hash) + getOutcome();
+      hash = (37 * hash) + REASON_FIELD_NUMBER;
+      hash = (53 * hash) + getReason().hashCode();
+      hash = (37 * hash) + RETRY_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRetryMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOverAnswer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolHandOverAnswer)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswerOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        outcome_ = 0;
+        reason_ = "";
+        retryMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.outcome_ = outcome_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.reason_ = reason_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.retryMillis_ = retryMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (other.getOutcome() != 0) {
+          setOutcome(other.getOutcome());
+        }
+        if (!other.getReason().isEmpty()) {
+          reason_ = other.reason_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getRetryMillis() != 0L) {
+          setRetryMillis(other.getRetryMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                outcome_ = input.readInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                reason_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                retryMillis_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int outcome_ ;
+      /**
+       * <code>int32 outcome = 2;</code>
+       * @return The outcome.
+       */
+      @java.lang.Override
+      public int getOutcome() {
+        return outcome_;
+      }
+      /**
+       * <code>int32 outcome = 2;</code>
+       * @param value The outcome to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOutcome(int value) {
+
+        outcome_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 outcome = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOutcome() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        outcome_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object reason_ = "";
+      /**
+       * <code>string reason = 3;</code>
+       * @return The reason.
+       */
+      public java.lang.String getReason() {
+        java.lang.Object ref = reason_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          reason_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string reason = 3;</code>
+       * @return The bytes for reason.
+       */
+      public com.google.protobuf.ByteString
+          getReasonBytes() {
+        java.lang.Object ref = reason_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          reason_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string reason = 3;</code>
+       * @param value The reason to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReason(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        reason_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string reason = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReason() {
+        reason_ = getDefaultInstance().getReason();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string reason = 3;</code>
+       * @param value The bytes for reason to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReasonBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        reason_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private long retryMillis_ ;
+      /**
+       * <code>int64 retry_millis = 4;</code>
+       * @return The retryMillis.
+       */
+      @java.lang.Override
+      public long getRetryMillis() {
+        return retryMillis_;
+      }
+      /**
+       * <code>int64 retry_millis = 4;</code>
+       * @param value The retryMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRetryMillis(long value) {
+
+        retryMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 retry_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRetryMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        retryMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolHandOverAnswer)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolHandOverAnswer)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolHandOverAnswer>
+        PARSER = new com.google.protobuf.AbstractParser<PoolHandOverAnswer>() {
+      @java.lang.Override
+      public PoolHandOverAnswer parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolHandOverAnswer> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolHandOverAnswer> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverAnswer getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PoolHandOverCancellationOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolHandOverCancellation)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOverCancellation}
+   */
+  public static final class PoolHandOverCancellation extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolHandOverCancellation)
+      PoolHandOverCancellationOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolHandOverCancellation");
+    }
+    // Use PoolHandOverCancellation.newBuilder() to construct.
+    private PoolHandOverCancellation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolHandOverCancellation() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolHandOverCancellation}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolHandOverCancellation)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolHandOverCancellation)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolHandOverCancellation)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolHandOverCancellation>
+        PARSER = new com.google.protobuf.AbstractParser<PoolHandOverCancellation>() {
+      @java.lang.Override
+      public PoolHandOverCancellation parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolHandOverCancellation> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolHandOverCancellation> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PoolJobCancellationOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolJobCancellation)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string job = 1;</code>
+     * @return The job.
+     */
+    java.lang.String getJob();
+    /**
+     * <code>string job = 1;</code>
+     * @return The bytes for job.
+     */
+    com.google.protobuf.ByteString
+        getJobBytes();
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+   */
+  public static final class PoolJobCancellation extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolJobCancellation)
+      PoolJobCancellationOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolJobCancellation");
+    }
+    // Use PoolJobCancellation.newBuilder() to construct.
+    private PoolJobCancellation(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolJobCancellation() {
+      job_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+    }
+
+    public static final int JOB_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object job_ = "";
+    /**
+     * <code>string job = 1;</code>
+     * @return The job.
+     */
+    @java.lang.Override
+    public java.lang.String getJob() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        job_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string job = 1;</code>
+     * @return The bytes for job.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getJobBytes() {
+      java.lang.Object ref = job_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        job_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, job_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(job_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, job_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) obj;
+
+      if (!getJob()
+          .equals(other.getJob())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + JOB_FIELD_NUMBER;
+      hash = (53 * hash) + getJob().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolJobCancellation}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolJobCancellation)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellationOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        job_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.job_ = job_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolJobCancellation.getDefaultInstance()) return this;
+        if (!other.getJob().isEmpty()) {
+          job_ = other.job_;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
@@ -45332,6 +49936,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolStep_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolStep_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolHandOver_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor;
   private static final 
@@ -45351,7 +49975,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\350\021\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\316\023\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -45408,113 +50032,132 @@
       "\024pool_evacuation_push\030% \001(\0132*.org.jackda" +
       "wsaddle.wire.PoolEvacuationPushH\000\022L\n\025poo" +
       "l_job_cancellation\030& \001(\0132+.org.jackdawsa" +
-      "ddle.wire.PoolJobCancellationH\000B\006\n\004body\"" +
-      "+\n\006NodeId\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\006\"0\n\rSubmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016" +
-      "\n\006id_low\030\002 \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001" +
-      "(\006\022\016\n\006id_low\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Dem" +
-      "and\022\r\n\005cores\030\001 \001(\001\022\030\n\020memory_megabytes\030\002" +
-      " \001(\004\022\024\n\014accelerators\030\003 \001(\r\"\223\002\n\014SidecarHe" +
-      "llo\022/\n\007sidecar\030\001 \001(\0132\036.org.jackdawsaddle" +
-      ".wire.NodeId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030" +
-      "\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(" +
-      "\r\022\023\n\013connections\030\006 \001(\r\0220\n\010capacity\030\007 \001(\013" +
-      "2\036.org.jackdawsaddle.wire.Demand\022\017\n\007serv" +
-      "ing\030\010 \001(\010\022\022\n\nstarted_at\030\t \001(\004\022\020\n\010revisio" +
-      "n\030\n \001(\004\022\017\n\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n\005e" +
-      "ntry\030\001 \001(\0132\036.org.jackdawsaddle.wire.Node" +
-      "Id\022\027\n\017entry_addresses\030\002 \003(\t\"\243\001\n\tStartTas" +
-      "k\022-\n\004task\030\001 \001(\0132\037.org.jackdawsaddle.wire" +
-      ".TaskKey\022\014\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(\014\022" +
-      "\030\n\020remaining_millis\030\004 \001(\004\022.\n\006demand\030\005 \001(" +
-      "\0132\036.org.jackdawsaddle.wire.Demand\"`\n\nSta" +
-      "rtTasks\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(" +
-      "\004\0220\n\005tasks\030\003 \003(\0132!.org.jackdawsaddle.wir" +
-      "e.StartTask\"}\n\nTaskResult\022-\n\004task\030\001 \001(\0132" +
-      "\037.org.jackdawsaddle.wire.TaskKey\022\r\n\005stat" +
-      "e\030\002 \001(\r\022\014\n\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022" +
-      "\n\nrun_micros\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpar" +
-      "tition\030\001 \001(\r\0223\n\007results\030\002 \003(\0132\".org.jack" +
-      "dawsaddle.wire.TaskResult\"]\n\tStopTasks\022\021" +
-      "\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005task" +
-      "s\030\003 \003(\0132\037.org.jackdawsaddle.wire.TaskKey" +
-      "\"(\n\004Seal\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001" +
-      "(\004\"\\\n\006Sealed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch" +
-      "\030\002 \001(\004\022\030\n\020newest_id_millis\030\003 \001(\004\022\026\n\016newe" +
-      "st_renewal\030\004 \001(\004\"+\n\007Release\022\021\n\tpartition" +
-      "\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n\tp" +
-      "artition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at" +
-      "\030\003 \001(\004\"A\n\014LeaseRenewed\022\021\n\tpartition\030\001 \001(" +
-      "\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007Inq" +
-      "uiry\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016" +
-      "\n\006number\030\003 \001(\004\022:\n\013submissions\030\004 \003(\0132%.or" +
-      "g.jackdawsaddle.wire.SubmissionKey\"e\n\rIn" +
-      "quiryAnswer\022\021\n\tpartition\030\001 \001(\r\022\016\n\006number" +
-      "\030\002 \001(\004\0221\n\005known\030\003 \003(\0132\".org.jackdawsaddl" +
-      "e.wire.TaskResult\"G\n\023TargetConfiguration" +
-      "\022\020\n\010revision\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005s" +
-      "lots\030\003 \001(\r\"(\n\024ConfigurationApplied\022\020\n\010re" +
-      "vision\030\001 \001(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001(\013" +
-      "2\036.org.jackdawsaddle.wire.NodeId\022\020\n\010revi" +
-      "sion\030\002 \001(\004\"7\n\013TaskRequest\022\017\n\007payload\030\001 \001" +
-      "(\014\022\027\n\017expected_millis\030\002 \001(\004\"\227\001\n\nJobReque" +
-      "st\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004t" +
-      "eam\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_mil" +
-      "lis\030\005 \001(\004\0222\n\005tasks\030\006 \003(\0132#.org.jackdawsa" +
-      "ddle.wire.TaskRequest\"O\n\tSubmitJob\022\r\n\005to" +
-      "ken\030\001 \001(\004\0223\n\007request\030\002 \001(\0132\".org.jackdaw" +
-      "saddle.wire.JobRequest\"o\n\tJobAnswer\022\017\n\007o" +
-      "utcome\030\001 \001(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001" +
-      "(\t\022\017\n\007answers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r" +
-      "\022\r\n\005tasks\030\006 \001(\r\"O\n\013JobAnswered\022\r\n\005token\030" +
-      "\001 \001(\004\0221\n\006answer\030\002 \001(\0132!.org.jackdawsaddl" +
-      "e.wire.JobAnswer\"K\n\010QueryJob\022\r\n\005token\030\001 " +
-      "\001(\004\022\017\n\007id_high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007" +
-      "service\030\004 \001(\t\"=\n\tCancelJob\022\017\n\007id_high\030\001 " +
-      "\001(\006\022\016\n\006id_low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010" +
-      "JobMoved\022\r\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010" +
-      "revision\030\001 \001(\004\"3\n\021ConfigurationPush\022\020\n\010r" +
-      "evision\030\001 \001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQue" +
-      "ry\022\r\n\005token\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005tok" +
-      "en\030\001 \001(\004\022\016\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n\004t" +
-      "ask\030\001 \001(\t\022\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/\n\007" +
-      "sidecar\030\001 \001(\0132\036.org.jackdawsaddle.wire.N" +
-      "odeId\022\023\n\013data_centre\030\002 \001(\t\022\016\n\006target\030\003 \001" +
-      "(\t\022\017\n\007service\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132\036." +
-      "org.jackdawsaddle.wire.Demand\022\016\n\006labels\030" +
-      "\006 \003(\t\022\035\n\025configuration_version\030\007 \001(\004\022\033\n\023" +
-      "evacuation_revision\030\010 \001(\004\"\210\001\n\010PoolRoom\022," +
-      "\n\004free\030\001 \001(\0132\036.org.jackdawsaddle.wire.De" +
-      "mand\022\017\n\007serving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026\n\016" +
-      "handled_starts\030\004 \001(\004\022\026\n\016unsettled_jobs\030\005" +
-      " \003(\t\"[\n\016PoolTaskReport\022,\n\003run\030\001 \001(\0132\037.or" +
-      "g.jackdawsaddle.wire.PoolRun\022\014\n\004kind\030\002 \001" +
-      "(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017PoolTaskReports\0227\n\007" +
-      "reports\030\001 \003(\0132&.org.jackdawsaddle.wire.P" +
-      "oolTaskReport\"O\n\013PoolWelcome\022-\n\005entry\030\001 " +
-      "\001(\0132\036.org.jackdawsaddle.wire.NodeId\022\021\n\ta" +
-      "ddresses\030\002 \003(\t\"\215\001\n\rPoolStartTask\022,\n\003run\030" +
-      "\001 \001(\0132\037.org.jackdawsaddle.wire.PoolRun\022\017" +
-      "\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.ja" +
-      "ckdawsaddle.wire.Demand\022\r\n\005queue\030\004 \001(\t\"`" +
-      "\n\tPoolStart\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001" +
-      "(\004\0224\n\005tasks\030\003 \003(\0132%.org.jackdawsaddle.wi" +
-      "re.PoolStartTask\"9\n\010PoolStop\022-\n\004runs\030\001 \003" +
-      "(\0132\037.org.jackdawsaddle.wire.PoolRun\";\n\nP" +
-      "oolResume\022-\n\004runs\030\001 \003(\0132\037.org.jackdawsad" +
-      "dle.wire.PoolRun\"X\n\010PoolPing\022\035\n\025configur" +
-      "ation_version\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022\033\n" +
-      "\023evacuation_revision\030\003 \001(\004\"\213\001\n\rPoolPeerH" +
-      "ello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddle." +
-      "wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025configur" +
-      "ation_version\030\003 \001(\004\022\033\n\023evacuation_revisi" +
-      "on\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001 \003" +
-      "(\t\"6\n\025PoolConfigurationPush\022\017\n\007version\030\001" +
-      " \001(\004\022\014\n\004text\030\002 \001(\t\"\"\n\023PoolJobCancellatio" +
-      "n\022\013\n\003job\030\001 \001(\t\"<\n\022PoolEvacuationPush\022\020\n\010" +
-      "revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003(\tB-\n%" +
-      "org.jackdawsaddle.internal.wire.protoB\004W" +
-      "ireb\006proto3"
+      "ddle.wire.PoolJobCancellationH\000\022>\n\016pool_" +
+      "hand_over\030\' \001(\0132$.org.jackdawsaddle.wire" +
+      ".PoolHandOverH\000\022K\n\025pool_hand_over_answer" +
+      "\030( \001(\0132*.org.jackdawsaddle.wire.PoolHand" +
+      "OverAnswerH\000\022W\n\033pool_hand_over_cancellat" +
+      "ion\030) \001(\01320.org.jackdawsaddle.wire.PoolH" +
+      "andOverCancellationH\000B\006\n\004body\"+\n\006NodeId\022" +
+      "\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"0\n\rSu" +
+      "bmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002" +
+      " \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_l" +
+      "ow\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022\r\n\005cor" +
+      "es\030\001 \001(\001\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014ac" +
+      "celerators\030\003 \001(\r\"\223\002\n\014SidecarHello\022/\n\007sid" +
+      "ecar\030\001 \001(\0132\036.org.jackdawsaddle.wire.Node" +
+      "Id\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n\013d" +
+      "ata_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013conne" +
+      "ctions\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.org.jac" +
+      "kdawsaddle.wire.Demand\022\017\n\007serving\030\010 \001(\010\022" +
+      "\022\n\nstarted_at\030\t \001(\004\022\020\n\010revision\030\n \001(\004\022\017\n" +
+      "\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n\005entry\030\001 \001(\013" +
+      "2\036.org.jackdawsaddle.wire.NodeId\022\027\n\017entr" +
+      "y_addresses\030\002 \003(\t\"\243\001\n\tStartTask\022-\n\004task\030" +
+      "\001 \001(\0132\037.org.jackdawsaddle.wire.TaskKey\022\014" +
+      "\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaini" +
+      "ng_millis\030\004 \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.ja" +
+      "ckdawsaddle.wire.Demand\"`\n\nStartTasks\022\021\n" +
+      "\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\0220\n\005tasks" +
+      "\030\003 \003(\0132!.org.jackdawsaddle.wire.StartTas" +
+      "k\"}\n\nTaskResult\022-\n\004task\030\001 \001(\0132\037.org.jack" +
+      "dawsaddle.wire.TaskKey\022\r\n\005state\030\002 \001(\r\022\014\n" +
+      "\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022\n\nrun_micr" +
+      "os\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpartition\030\001 \001" +
+      "(\r\0223\n\007results\030\002 \003(\0132\".org.jackdawsaddle." +
+      "wire.TaskResult\"]\n\tStopTasks\022\021\n\tpartitio" +
+      "n\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tasks\030\003 \003(\0132\037." +
+      "org.jackdawsaddle.wire.TaskKey\"(\n\004Seal\022\021" +
+      "\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"\\\n\006Seal" +
+      "ed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\030\n\020" +
+      "newest_id_millis\030\003 \001(\004\022\026\n\016newest_renewal" +
+      "\030\004 \001(\004\"+\n\007Release\022\021\n\tpartition\030\001 \001(\r\022\r\n\005" +
+      "epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001" +
+      " \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"A\n\014" +
+      "LeaseRenewed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch" +
+      "\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007Inquiry\022\021\n\tpa" +
+      "rtition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006number\030\003" +
+      " \001(\004\022:\n\013submissions\030\004 \003(\0132%.org.jackdaws" +
+      "addle.wire.SubmissionKey\"e\n\rInquiryAnswe" +
+      "r\022\021\n\tpartition\030\001 \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005" +
+      "known\030\003 \003(\0132\".org.jackdawsaddle.wire.Tas" +
+      "kResult\"G\n\023TargetConfiguration\022\020\n\010revisi" +
+      "on\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r" +
+      "\"(\n\024ConfigurationApplied\022\020\n\010revision\030\001 \001" +
+      "(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001(\0132\036.org.jac" +
+      "kdawsaddle.wire.NodeId\022\020\n\010revision\030\002 \001(\004" +
+      "\"7\n\013TaskRequest\022\017\n\007payload\030\001 \001(\014\022\027\n\017expe" +
+      "cted_millis\030\002 \001(\004\"\227\001\n\nJobRequest\022\017\n\007id_h" +
+      "igh\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022" +
+      "\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\004\022" +
+      "2\n\005tasks\030\006 \003(\0132#.org.jackdawsaddle.wire." +
+      "TaskRequest\"O\n\tSubmitJob\022\r\n\005token\030\001 \001(\004\022" +
+      "3\n\007request\030\002 \001(\0132\".org.jackdawsaddle.wir" +
+      "e.JobRequest\"o\n\tJobAnswer\022\017\n\007outcome\030\001 \001" +
+      "(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\017\n\007answ" +
+      "ers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r\n\005tasks\030" +
+      "\006 \001(\r\"O\n\013JobAnswered\022\r\n\005token\030\001 \001(\004\0221\n\006a" +
+      "nswer\030\002 \001(\0132!.org.jackdawsaddle.wire.Job" +
+      "Answer\"K\n\010QueryJob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_" +
+      "high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007service\030\004 " +
+      "\001(\t\"=\n\tCancelJob\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_" +
+      "low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010JobMoved\022\r" +
+      "\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010revision\030\001" +
+      " \001(\004\"3\n\021ConfigurationPush\022\020\n\010revision\030\001 " +
+      "\001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n\005toke" +
+      "n\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 \001(\004\022\016" +
+      "\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n\004task\030\001 \001(\t\022" +
+      "\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/\n\007sidecar\030\001 " +
+      "\001(\0132\036.org.jackdawsaddle.wire.NodeId\022\023\n\013d" +
+      "ata_centre\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\017\n\007serv" +
+      "ice\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132\036.org.jackda" +
+      "wsaddle.wire.Demand\022\016\n\006labels\030\006 \003(\t\022\035\n\025c" +
+      "onfiguration_version\030\007 \001(\004\022\033\n\023evacuation" +
+      "_revision\030\010 \001(\004\"\210\001\n\010PoolRoom\022,\n\004free\030\001 \001" +
+      "(\0132\036.org.jackdawsaddle.wire.Demand\022\017\n\007se" +
+      "rving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026\n\016handled_st" +
+      "arts\030\004 \001(\004\022\026\n\016unsettled_jobs\030\005 \003(\t\"[\n\016Po" +
+      "olTaskReport\022,\n\003run\030\001 \001(\0132\037.org.jackdaws" +
+      "addle.wire.PoolRun\022\014\n\004kind\030\002 \001(\005\022\r\n\005queu" +
+      "e\030\003 \001(\t\"J\n\017PoolTaskReports\0227\n\007reports\030\001 " +
+      "\003(\0132&.org.jackdawsaddle.wire.PoolTaskRep" +
+      "ort\"O\n\013PoolWelcome\022-\n\005entry\030\001 \001(\0132\036.org." +
+      "jackdawsaddle.wire.NodeId\022\021\n\taddresses\030\002" +
+      " \003(\t\"\215\001\n\rPoolStartTask\022,\n\003run\030\001 \001(\0132\037.or" +
+      "g.jackdawsaddle.wire.PoolRun\022\017\n\007payload\030" +
+      "\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.jackdawsaddl" +
+      "e.wire.Demand\022\r\n\005queue\030\004 \001(\t\"`\n\tPoolStar" +
+      "t\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005task" +
+      "s\030\003 \003(\0132%.org.jackdawsaddle.wire.PoolSta" +
+      "rtTask\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.j" +
+      "ackdawsaddle.wire.PoolRun\";\n\nPoolResume\022" +
+      "-\n\004runs\030\001 \003(\0132\037.org.jackdawsaddle.wire.P" +
+      "oolRun\"\213\001\n\010PoolPing\022\035\n\025configuration_ver" +
+      "sion\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022\033\n\023evacuati" +
+      "on_revision\030\003 \001(\004\022\027\n\017processor_cores\030\004 \001" +
+      "(\001\022\030\n\020tasks_per_second\030\005 \001(\001\"\213\001\n\rPoolPee" +
+      "rHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddl" +
+      "e.wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025config" +
+      "uration_version\030\003 \001(\004\022\033\n\023evacuation_revi" +
+      "sion\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001" +
+      " \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007version" +
+      "\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\272\001\n\010PoolStep\022\r\n\005tas" +
+      "ks\030\001 \001(\005\022.\n\006demand\030\002 \001(\0132\036.org.jackdawsa" +
+      "ddle.wire.Demand\022\027\n\017expected_millis\030\003 \001(" +
+      "\003\022\r\n\005after\030\004 \003(\005\022\026\n\016required_label\030\005 \001(\t" +
+      "\022\027\n\017preferred_label\030\006 \001(\t\022\026\n\016max_per_tar" +
+      "get\030\007 \001(\005\"\226\001\n\014PoolHandOver\022\016\n\006number\030\001 \001" +
+      "(\004\022\013\n\003job\030\002 \001(\t\022\r\n\005queue\030\003 \001(\t\022\017\n\007payloa" +
+      "d\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\003\022/\n\005ste" +
+      "ps\030\006 \003(\0132 .org.jackdawsaddle.wire.PoolSt" +
+      "ep\"[\n\022PoolHandOverAnswer\022\016\n\006number\030\001 \001(\004" +
+      "\022\017\n\007outcome\030\002 \001(\005\022\016\n\006reason\030\003 \001(\t\022\024\n\014ret" +
+      "ry_millis\030\004 \001(\003\"*\n\030PoolHandOverCancellat" +
+      "ion\022\016\n\006number\030\001 \001(\004\"\"\n\023PoolJobCancellati" +
+      "on\022\013\n\003job\030\001 \001(\t\"<\n\022PoolEvacuationPush\022\020\n" +
+      "\010revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003(\tB-\n" +
+      "%org.jackdawsaddle.internal.wire.protoB\004" +
+      "Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -45525,7 +50168,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "PoolJobCancellation", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "PoolJobCancellation", "PoolHandOver", "PoolHandOverAnswer", "PoolHandOverCancellation", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -45789,7 +50432,7 @@
     internal_static_org_jackdawsaddle_wire_PoolPing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolPing_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "Watching", "EvacuationRevision", });
+        new java.lang.String[] { "ConfigurationVersion", "Watching", "EvacuationRevision", "ProcessorCores", "TasksPerSecond", });
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_descriptor =
       getDescriptor().getMessageType(45);
     internal_static_org_jackdawsaddle_wire_PoolPeerHello_fieldAccessorTable = new
@@ -45808,14 +50451,38 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolConfigurationPush_descriptor,
         new java.lang.String[] { "Version", "Text", });
-    internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor =
+    internal_static_org_jackdawsaddle_wire_PoolStep_descriptor =
       getDescriptor().getMessageType(48);
+    internal_static_org_jackdawsaddle_wire_PoolStep_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolStep_descriptor,
+        new java.lang.String[] { "Tasks", "Demand", "ExpectedMillis", "After", "RequiredLabel", "PreferredLabel", "MaxPerTarget", });
+    internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor =
+      getDescriptor().getMessageType(49);
+    internal_static_org_jackdawsaddle_wire_PoolHandOver_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolHandOver_descriptor,
+        new java.lang.String[] { "Number", "Job", "Queue", "Payload", "RemainingMillis", "Steps", });
+    internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor =
+      getDescriptor().getMessageType(50);
+    internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolHandOverAnswer_descriptor,
+        new java.lang.String[] { "Number", "Outcome", "Reason", "RetryMillis", });
+    internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor =
+      getDescriptor().getMessageType(51);
+    internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolHandOverCancellation_descriptor,
+        new java.lang.String[] { "Number", });
+    internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor =
+      getDescriptor().getMessageType(52);
     internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor,
         new java.lang.String[] { "Job", });
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(53);
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor,
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/PoolEntryConfig.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolEntryConfig.java
@@ -13,9 +13,16 @@
  *     stops its runs if its sidecar has not renewed the lease for so long
  * @param resendMillis how long a caller without an answer waits before it sends its job again, in
  *     milliseconds
+ * @param processorCores the processor cores that the entry may use; 0 if unknown, and no job is
+ *     then handed over to a larger entry
  */
 public record PoolEntryConfig(
-        String name, String address, List<String> seeds, long leaseMillis, long resendMillis) {
+        String name,
+        String address,
+        List<String> seeds,
+        long leaseMillis,
+        long resendMillis,
+        double processorCores) {
 
     /** Takes an unmodifiable copy of the list. */
     public PoolEntryConfig {
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/PoolJob.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/PoolJob.java
@@ -19,4 +19,14 @@
     public PoolJob {
         steps = List.copyOf(steps);
     }
+
+    /** Returns the same job with another deadline. */
+    public PoolJob withDeadline(long newDeadline) {
+        return new PoolJob(id, queue, payload, steps, newDeadline);
+    }
+
+    /** Returns the number of tasks of all steps. */
+    public int taskCount() {
+        return steps.stream().mapToInt(PoolStep::tasks).sum();
+    }
 }
