Spend less on each event of entries and sidecars

Cause: a sidecar added up the demand and the owners of all its runs at each event, and sorted out unsettled jobs for each entry though there were none; an entry went through all sidecars at each event to watch the same ones; ranking sidecars hashed names within the sort, again for each sidecar that connects; and records as keys of maps compare through method handles, which the compiler that the roles use does not inline.

Change: sums and owners are kept until the runs change; the watched sidecars are gone through only when something has changed; hashes are taken once; NodeId and Run have their own equals and hashCode.

--- a/jackdawsaddle/src/org/jackdawsaddle/NodeId.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/NodeId.java
@@ -14,6 +14,19 @@
         return name.equals(other.name) && incarnation != other.incarnation;
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof NodeId that
+                && incarnation == that.incarnation
+                && name.equals(that.name);
+    }
+
+    // The methods that the compiler generates for records are slow as keys of maps.
+    @Override
+    public int hashCode() {
+        return name.hashCode() ^ Long.hashCode(incarnation);
+    }
+
     @Override
     public String toString() {
         return name + "#" + Long.toHexString(incarnation);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -21,7 +21,18 @@
      * @param task the name of the task, unique among all jobs
      * @param run the number of the attempt, from 1
      */
-    record Run(String task, int run) {}
+    record Run(String task, int run) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Run that && run == that.run && task.equals(that.task);
+        }
+
+        // The methods that the compiler generates for records are slow as keys of maps.
+        @Override
+        public int hashCode() {
+            return task.hashCode() + run;
+        }
+    }
 
     /**
      * A request to start one run.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarRanking.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarRanking.java
@@ -20,6 +20,12 @@
 final class SidecarRanking {
     private static final int RINGS = 4;
 
+    private record RingPosition(SidecarView sidecar, int hash) {}
+
+    private static final Comparator<RingPosition> RING_ORDER =
+            Comparator.comparingInt(RingPosition::hash)
+                    .thenComparing(position -> position.sidecar().node().name());
+
     private final String mEntry;
 
     /**
@@ -57,10 +63,9 @@
 
     private static List<SidecarView> ringOrder(Collection<SidecarView> sidecars, int ring) {
         return sidecars.stream()
-                .sorted(
-                        Comparator.<SidecarView>comparingInt(
-                                        sidecar -> ringHash(sidecar.node().name(), ring))
-                                .thenComparing(sidecar -> sidecar.node().name()))
+                .map(sidecar -> new RingPosition(sidecar, ringHash(sidecar.node().name(), ring)))
+                .sorted(RING_ORDER)
+                .map(RingPosition::sidecar)
                 .toList();
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/WatchController.java
@@ -36,6 +36,12 @@
     private final SidecarRanking mRanking;
     private boolean mWatching;
 
+    /** Whether the shortage factor applied at the latest update. */
+    private boolean mShort;
+
+    /** Whether sidecars were watched beyond the first ones, for a task. */
+    private boolean mExtended;
+
     /** In milliseconds since the epoch. */
     private long mShortageUntil;
 
@@ -63,17 +69,29 @@
 
     /** Watches other sidecars if the jobs, the free capacity or the pool's members ask for it. */
     void update() {
-        mWatching = !mState.mJobs.isEmpty() || mState.mNow - mState.mLastAdmittedAt < ACTIVE_MILLIS;
         if (mState.mWaitingTask.isPresent()) {
             mShortageUntil = mState.mNow + SHORTAGE_MILLIS;
         }
+        boolean watching =
+                !mState.mJobs.isEmpty() || mState.mNow - mState.mLastAdmittedAt < ACTIVE_MILLIS;
+        boolean shortage = mState.mNow < mShortageUntil;
+        boolean changed =
+                watching != mWatching
+                        || shortage != mShort
+                        || mRankedVersion != mState.mMembersVersion
+                        || mExtended;
+        mWatching = watching;
+        mShort = shortage;
         if (mRankedVersion != mState.mMembersVersion) {
             mRankedVersion = mState.mMembersVersion;
             mRanked = rank();
             mState.mPreferredSidecars = preferred();
             mState.mQuarantine.selectMembers(mRanked.stream().map(WatchController::names).toList());
         }
-        mRanked.forEach(this::watchFirst);
+        if (changed) {
+            mExtended = false;
+            mRanked.forEach(this::watchFirst);
+        }
         mState.mWaitingTask.ifPresent(this::watchForTask);
         mState.mWaitingTask = Optional.empty();
     }
@@ -100,7 +118,7 @@
     }
 
     private void watchFirst(List<SidecarView> ranked) {
-        int factor = mState.mNow < mShortageUntil ? SHORTAGE_FACTOR : 1;
+        int factor = mShort ? SHORTAGE_FACTOR : 1;
         int count = mWatching ? factor * watchedCount(ranked.size()) : 0;
         for (int rank = 0; rank < ranked.size(); rank++) {
             watch(ranked.get(rank), rank < count);
@@ -122,6 +140,7 @@
                         .filter(sidecar -> mPlacement.admitted(task, sidecar))
                         .toList();
         if (candidates.stream().noneMatch(SidecarView::watched)) {
+            mExtended = true;
             candidates.forEach(sidecar -> watch(sidecar, true));
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -1,9 +1,11 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -15,12 +17,25 @@
 final class HeldRuns {
     private final Map<Run, HeldRun> mRuns = new LinkedHashMap<>();
 
+    /** The demand of all runs; empty after a change of the runs until it is asked for. */
+    private Optional<Demand> mUsed = Optional.empty();
+
+    /** The entries that own the runs; empty after a change of the runs until it is asked for. */
+    private Optional<Set<NodeId>> mOwners = Optional.empty();
+
     void add(HeldRun held) {
         mRuns.put(held.mStartTask.run(), held);
+        onChanged();
     }
 
     void remove(HeldRun held) {
         mRuns.remove(held.mStartTask.run());
+        onChanged();
+    }
+
+    private void onChanged() {
+        mUsed = Optional.empty();
+        mOwners = Optional.empty();
     }
 
     /** Returns a run; null if it is not held. */
@@ -46,9 +61,14 @@
 
     /** Returns the demand of all runs. */
     Demand used() {
-        return mRuns.values().stream()
-                .map(held -> held.mStartTask.demand())
-                .reduce(Demand.NONE, Demand::plus);
+        if (mUsed.isEmpty()) {
+            mUsed =
+                    Optional.of(
+                            mRuns.values().stream()
+                                    .map(held -> held.mStartTask.demand())
+                                    .reduce(Demand.NONE, Demand::plus));
+        }
+        return mUsed.get();
     }
 
     boolean holdsTask(String task) {
@@ -62,11 +82,21 @@
 
     /** Returns the entries that own the runs. */
     Set<NodeId> owners() {
-        return mRuns.values().stream().map(held -> held.mOwner).collect(Collectors.toSet());
+        if (mOwners.isEmpty()) {
+            mOwners =
+                    Optional.of(
+                            mRuns.values().stream()
+                                    .map(held -> held.mOwner)
+                                    .collect(Collectors.toUnmodifiableSet()));
+        }
+        return mOwners.get();
     }
 
     /** Returns the ids of the jobs of runs that other entries own. */
     static List<String> jobsOfOthers(NodeId entry, List<HeldRun> runs) {
+        if (runs.isEmpty()) {
+            return List.of();
+        }
         return runs.stream()
                 .filter(held -> !held.mOwner.equals(entry))
                 .map(HeldRun::job)
@@ -78,8 +108,14 @@
      * Returns the runs that should have ended: by their entry's state, or as their stop expired.
      */
     List<HeldRun> unsettled(Predicate<NodeId> unsettledEntry, long now) {
-        return mRuns.values().stream()
-                .filter(held -> now >= held.mStopExpiresAt || unsettledEntry.test(held.mOwner))
-                .toList();
+        Set<NodeId> unsettledOwners =
+                owners().stream().filter(unsettledEntry).collect(Collectors.toSet());
+        List<HeldRun> unsettled = new ArrayList<>();
+        for (HeldRun held : mRuns.values()) {
+            if (now >= held.mStopExpiresAt || unsettledOwners.contains(held.mOwner)) {
+                unsettled.add(held);
+            }
+        }
+        return unsettled;
     }
 }
