Don't take a starved entry for a dead one while jobs are handed over

An entry that is short of processor time sends and reads its heartbeats late, and 600 ms of silence ended all hand-overs.

Change: both sides wait 900 ms, as long as sidecars keep the runs of a lost entry, and the sender does not count its own pause as the receiver's silence.

Whether the hand-over or the load costs this is not shown.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PeerController.java
@@ -137,6 +137,7 @@
     }
 
     void onTick() {
+        discountOwnPause();
         mPeers.forEach((peer, view) -> {
             if (mState.mNow - view.mLastHeardAt > timeoutMillis(view)) {
                 // Restarts the timeout, so that not every tick requests a disconnection.
@@ -149,9 +150,20 @@
         });
     }
 
+    /** Excludes a pause of this process from the silence of peers: messages may wait unread. */
+    private void discountOwnPause() {
+        long lateMillis = mState.mNow - mState.mNextTickAt;
+        if (mState.mNextTickAt > 0 && lateMillis > PoolTiming.PAUSE_THRESHOLD_MILLIS) {
+            mPeers.values()
+                    .forEach(view ->
+                            view.mLastHeardAt =
+                                    Math.min(mState.mNow, view.mLastHeardAt + lateMillis));
+        }
+    }
+
     private long timeoutMillis(PeerView view) {
         return view.answersExpected(mState.mNow)
-                ? PoolTiming.CONNECTION_TIMEOUT_MILLIS
+                ? PoolTiming.HAND_OVER_TIMEOUT_MILLIS
                 : PoolTiming.PEER_TIMEOUT_MILLIS;
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -20,12 +20,22 @@
     /** An active connection without messages for this long is closed and opened again. */
     public static final long CONNECTION_TIMEOUT_MILLIS = 600;
 
+    /** How long a sidecar keeps the runs of a disconnected entry before it stops them. */
+    public static final long RECONNECT_TIMEOUT_MILLIS = 300;
+
     /** The interval of heartbeats between entries. */
     public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
     /** A connection between entries without messages for this long is closed and opened again. */
     public static final long PEER_TIMEOUT_MILLIS = 2_000;
 
+    /**
+     * How long two entries, of which one answers jobs for the other, may hear nothing from each
+     * other before they abandon these jobs: as long as sidecars keep the runs of a lost entry.
+     */
+    public static final long HAND_OVER_TIMEOUT_MILLIS =
+            CONNECTION_TIMEOUT_MILLIS + RECONNECT_TIMEOUT_MILLIS;
+
     /** The interval of heartbeats to sidecars on connections that are not active. */
     public static final long IDLE_HEARTBEAT_INTERVAL_MILLIS = 10_000;
 
@@ -47,9 +57,6 @@
     /** An entry places no new tasks on a sidecar that has sent nothing for this long. */
     public static final long SUSPECT_AFTER_MILLIS = 400;
 
-    /** How long a sidecar keeps the runs of a disconnected entry before it stops them. */
-    public static final long RECONNECT_TIMEOUT_MILLIS = 300;
-
     /**
      * A run that has not ended this long after its stop was ordered is reported to the other
      * entries: their callers may send its job again.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TakenJobs.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TakenJobs.java
@@ -64,7 +64,7 @@
                 mLastHeardAt.entrySet().stream()
                         .filter(entry ->
                                 mState.mNow - entry.getValue()
-                                        > PoolTiming.CONNECTION_TIMEOUT_MILLIS)
+                                        > PoolTiming.HAND_OVER_TIMEOUT_MILLIS)
                         .map(Map.Entry::getKey)
                         .toList();
         silent.forEach(mLastHeardAt::remove);
