--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/HandOverTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/HandOverTest.java
@@ -10,6 +10,7 @@
 import org.jackdawsaddle.internal.message.EntryLoad;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.pool.PoolAnswer;
+import org.jackdawsaddle.pool.PoolJob;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -148,6 +149,25 @@
         assertEquals(mOrderedStops.size(), 1);
     }
 
+    /** The other entry may have a newer configuration. */
+    @Test
+    public void declinesJobsOfAQueueThatItDoesNotKnow() {
+        PoolJob job = job("cc", 1, new Demand(4, 1, 0), 0);
+        PoolJob unknown = new PoolJob("cc", "new", job.payload(), job.steps(), 0);
+        receive(new PoolMessage.HandOver(5, unknown, 3_000));
+        assertTrue(sent(PoolMessage.HandOverAnswer.class).answer().isEmpty());
+    }
+
+    /** Runs of the earlier request may still be active. */
+    @Test
+    public void keepsAJobWhoseRunsItIsStopping() {
+        takeOver(5);
+        receive(new PoolMessage.HandOverCancellation(5));
+        mSentToPeers.clear();
+        submit("cc", 1, 4);
+        assertEquals(mSentToPeers, List.of());
+    }
+
     @Test
     public void declinesJobsWhileItStops() {
         mCore.handle(new PoolEntryEvent.LeaveRequested(mNow + 5_000), mNow);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/HandOverController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/HandOverController.java
@@ -20,9 +20,9 @@
  * Hands jobs over to other entries and passes their answers on to the callers. A job is handed over
  * once at most: its receiver answers or declines it.
  *
- * <p>If the receiver is lost, or silent for as long as sidecars wait for an entry, its jobs may
- * have run, and are abandoned; the receiver abandons them after the same silence. That is before
- * callers send a job again, so no job runs at two entries.
+ * <p>If the receiver is lost, or silent for {@link PoolTiming#HAND_OVER_TIMEOUT_MILLIS}, its jobs
+ * may have run, and are abandoned; the receiver abandons them after the same silence. That is
+ * before callers send a job again, so no job runs at two entries.
  */
 final class HandOverController {
     /** How long a plan is used. */
@@ -54,7 +54,10 @@
     private final PeerController mPeers;
     private final double mProcessorCores;
     private final BiConsumer<Long, PoolJob> mServeHere;
+
+    /** The jobs that other entries are to answer, by id. */
     private final Map<String, SentJob> mSentJobs = new LinkedHashMap<>();
+
     private final Map<NodeId, EntryLoad> mLoads = new HashMap<>();
     private final WindowedSum mSubmittedTasks = new WindowedSum(RATE_MILLIS);
     private HandOverPlan mPlan = HandOverPlan.NONE;
@@ -88,7 +91,7 @@
         return !mSentJobs.isEmpty();
     }
 
-    /** Records the tasks of a job that a caller has submitted, and updates the load to tell. */
+    /** Records the tasks of a job that a caller has submitted. */
     void recordSubmitted(PoolJob job) {
         mSubmittedTasks.add(job.taskCount(), mState.mNow);
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/JobController.java
@@ -55,14 +55,23 @@
      */
     void submit(long token, PoolJob job) {
         mHandOvers.recordSubmitted(job);
-        boolean known =
-                mState.mJobs.containsKey(job.id()) || mAnswers.retained(job.id()).isPresent();
-        boolean delayed = mState.mTimeline.maxRequestAgeMillis() >= mResendMillis;
-        if (mHandOvers.join(token, job.id())
-                || !known && !delayed && mHandOvers.offer(token, job)) {
-            return;
+        boolean answeredElsewhere =
+                mHandOvers.join(token, job.id())
+                        || mayHandOver(job.id()) && mHandOvers.offer(token, job);
+        if (!answeredElsewhere) {
+            serve(token, job);
         }
-        serve(token, job);
+    }
+
+    /**
+     * Returns whether nothing is known here of a job, so that another entry can serve it as well,
+     * and its request cannot have waited here for as long as a resend delay.
+     */
+    private boolean mayHandOver(String id) {
+        return !mState.mJobs.containsKey(id)
+                && !mState.mStoppingRunCounts.containsKey(id)
+                && mAnswers.retained(id).isEmpty()
+                && mState.mTimeline.maxRequestAgeMillis() < mResendMillis;
     }
 
     /** Serves the job of a call at this entry, see {@link #submit}. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -240,9 +240,12 @@
         }
     }
 
-    /** Serves the job of another entry, unless callers should not send jobs here either. */
+    /**
+     * Serves the job of another entry, unless callers should not send jobs here either, or the
+     * queue is not known here yet.
+     */
     private void onHandOver(NodeId peer, PoolMessage.HandOver handOver) {
-        if (ready()) {
+        if (ready() && mState.mConfiguration.queue(handOver.job().queue()).isPresent()) {
             long token = mTaken.add(peer, handOver.number());
             long deadline = mState.mNow + handOver.remainingMillis();
             mJobs.serve(token, handOver.job().withDeadline(deadline));
