--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -84,12 +84,12 @@
             case PoolEntryEvent.PeerAnswered answered -> {
                 mPeers.onAnswered(answered.peer(), answered.message());
                 onPeerAnswered(answered.peer(), answered.message());
-                onPeerSent(answered.peer(), answered.message());
+                onPeerMessage(answered.peer(), answered.message());
             }
             case PoolEntryEvent.PeerSent sent -> {
                 mTaken.onHeard(sent.peer());
                 mPeers.onReceived(sent.peer(), sent.message());
-                onPeerSent(sent.peer(), sent.message());
+                onPeerMessage(sent.peer(), sent.message());
             }
             case PoolEntryEvent.Tick tick -> {
                 mSidecars.onTick();
@@ -212,7 +212,7 @@
         }
     }
 
-    private void onPeerSent(NodeId peer, PoolMessage message) {
+    private void onPeerMessage(NodeId peer, PoolMessage message) {
         switch (message) {
             case PoolMessage.Ping ping ->
                     mEvacuations.onPeerRevision(peer, ping.evacuationRevision());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/handover/HandOverPlan.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/handover/HandOverPlan.java
@@ -26,7 +26,7 @@
     /** Tasks a second that one processor core serves without delay, whatever others have. */
     private static final double UNLOADED_TASKS_PER_CORE = 400;
 
-    /** 2 to the power of the number of bits of an int. */
+    /** The number of values of an int, to turn a hash into a number from 0 to 1. */
     private static final double INT_RANGE = 4_294_967_296.0;
 
     private final double mShare;
@@ -46,12 +46,15 @@
      * @param others the loads of the other entries that it can reach
      */
     public static HandOverPlan of(EntryLoad own, Map<NodeId, EntryLoad> others) {
-        double kept = fairTasksPerCore(own, others) * own.processorCores();
-        double excess = own.tasksPerSecond() - kept;
-        if (own.processorCores() <= 0 || excess <= 0) {
+        if (own.processorCores() <= 0) {
             return NONE;
         }
-        Map<NodeId, Double> rooms = rooms(own, others);
+        double fair = fairTasksPerCore(own, others);
+        double excess = own.tasksPerSecond() - fair * own.processorCores();
+        if (excess <= 0) {
+            return NONE;
+        }
+        Map<NodeId, Double> rooms = rooms(own, others, fair);
         double room = rooms.values().stream().mapToDouble(Double::doubleValue).sum();
         return room <= 0
                 ? NONE
@@ -66,11 +69,12 @@
             cores += other.processorCores();
             tasks += other.processorCores() > 0 ? other.tasksPerSecond() : 0;
         }
-        return Math.max(UNLOADED_TASKS_PER_CORE, TOLERANCE * tasks / Math.max(cores, 1e-9));
+        return Math.max(UNLOADED_TASKS_PER_CORE, TOLERANCE * tasks / cores);
     }
 
-    private static Map<NodeId, Double> rooms(EntryLoad own, Map<NodeId, EntryLoad> others) {
-        double fair = fairTasksPerCore(own, others);
+    /** Returns how many tasks a second each larger entry lacks, if any. */
+    private static Map<NodeId, Double> rooms(
+            EntryLoad own, Map<NodeId, EntryLoad> others, double fair) {
         Map<NodeId, Double> rooms = new LinkedHashMap<>();
         others.forEach((entry, load) -> {
             double room = fair * load.processorCores() - load.tasksPerSecond();
