Let the test of a paused entry fail without the mend

Change: the pause is 50 ms longer than the timeout. A sentence on the load that EvacuationController answers.

Measured: red on the code before (with that code's timeout in place of the new one), green now; HandOverTest, HandOverPlanTest, HandOverLoadTest and the tests of evacuation pass, linter clean.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/HandOverTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/HandOverTest.java
@@ -101,7 +101,7 @@
     public void doesNotTakeItsOwnPauseForSilence() {
         handOver();
         tick();
-        mNow += 2 * PoolTiming.HAND_OVER_TIMEOUT_MILLIS;
+        mNow += PoolTiming.HAND_OVER_TIMEOUT_MILLIS + 50;
         tick();
         assertEquals(mDisconnectedPeers, List.of());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/EvacuationController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/EvacuationController.java
@@ -11,6 +11,9 @@
  * Puts the evacuation of data centres in force: no task of this entry is placed there from then on,
  * and all sidecars and other entries with an older state are told at once. A sidecar that knows of
  * the evacuation of its data centre refuses tasks of any entry.
+ *
+ * <p>Answers the loss of a part of the capacity at once while the load stays: evacuated targets do
+ * not count as capacity from then on.
  */
 final class EvacuationController {
     private final PoolEntryState mState;
