--- a/review/tool-3/review3/Caller.java
+++ b/review/tool-3/review3/Caller.java
@@ -38,6 +38,18 @@
                 Map.of("spec", millis + " hire", "steps", steps, "bestEffort", true));
     }
 
+    /** Returns a job of equal tasks for runners of a kind. */
+    static String forKind(String kind, int tasks, long millis) {
+        Map<String, Object> step = new LinkedHashMap<>();
+        step.put("count", tasks);
+        step.put("cpu", 6200);
+        step.put("memMb", 64);
+        step.put("estimateMs", millis);
+        step.put("requires", kind);
+        return Json.write(
+                Map.of("spec", millis + " hire", "steps", List.of(step), "bestEffort", true));
+    }
+
     /** Submits a job on a connection of its own, and waits for the answer as long as it says. */
     CompletableFuture<Http.Response> submit(int entry, String id, String job, int waitMillis) {
         return CompletableFuture.supplyAsync(
--- a/review/tool-3/review3/CancelledAtOtherEntry.java
+++ b/review/tool-3/review3/CancelledAtOtherEntry.java
@@ -1,6 +1,7 @@
 package review3;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -16,7 +17,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int exit = 2;
         try (Record record = new Record(Path.of(arguments[0]));
-                Fleet fleet = new Fleet(record, 2, 3)) {
+                Fleet fleet = new Fleet(record, 2, List.of("a", "a", "b"))) {
             fleet.awaitReady(2);
             Caller caller = new Caller(fleet, record);
             CompletableFuture<Http.Response> answer =
--- a/review/tool-3/review3/Fleet.java
+++ b/review/tool-3/review3/Fleet.java
@@ -41,7 +41,13 @@
     private final List<RunnerStub> mRunners = new ArrayList<>();
     private final Map<String, Process> mProcesses = new LinkedHashMap<>();
 
-    Fleet(Record record, int entries, int runners) throws IOException {
+    /**
+     * Starts a fleet.
+     *
+     * @param kinds the kind of each runner
+     */
+    Fleet(Record record, int entries, List<String> kinds) throws IOException {
+        int runners = kinds.size();
         mRecord = record;
         mNetwork = freeNetwork(entries, runners);
         mDirectory = Files.createTempDirectory("review-3");
@@ -59,6 +65,7 @@
                             ip + ":" + RUNNER_PORT,
                             ip + ":" + CONTROL_PORT,
                             SERVICE,
+                            kinds.get(runner),
                             record));
         }
     }
@@ -103,6 +110,10 @@
         return host(1 + entry) + ":" + FRONT_PORT;
     }
 
+    RunnerStub runner(int number) {
+        return mRunners.get(number);
+    }
+
     List<RunnerStub.Run> runs() {
         List<RunnerStub.Run> runs = new ArrayList<>();
         mRunners.forEach(runner -> runs.addAll(runner.runs()));
--- a/review/tool-3/review3/RunnerStub.java
+++ b/review/tool-3/review3/RunnerStub.java
@@ -23,16 +23,23 @@
     private static final long HEARTBEAT_MILLIS = 1_500;
     private static final long LONGEST_LEASE_MILLIS = 1_000;
 
+    /** The time from when a new boot accepts orders to its first heartbeat. */
+    private static final long FIRST_HEARTBEAT_MILLIS = 300;
+
     /** One run; the end is negative until it has ended. All times are those of the record. */
     static final class Run {
         final String mTask;
         final int mRun;
         final long mStartedAt;
         final long mDueAt;
+        final String mRunner;
+        final String mKind;
         volatile long mEndedAt = -1;
         volatile String mHow = "";
 
-        Run(String task, int run, long startedAt, long millis) {
+        Run(RunnerStub runner, String task, int run, long startedAt, long millis) {
+            mRunner = runner.mId;
+            mKind = runner.mKind;
             mTask = task;
             mRun = run;
             mStartedAt = startedAt;
@@ -45,11 +52,12 @@
     private final String mControl;
     private final String mService;
     private final Record mRecord;
-    private final HttpServer mServer;
+    private volatile HttpServer mServer;
     private final ScheduledExecutorService mTimer =
             Executors.newScheduledThreadPool(2, Thread.ofPlatform().daemon().factory());
-    private final long mBorn = System.currentTimeMillis();
-    private final long mBornAt;
+    private volatile long mBorn;
+    private volatile long mBornAt;
+    private volatile String mKind;
     private final Map<String, Run> mRunning = new LinkedHashMap<>();
     private final Map<String, Integer> mHighestEnded = new HashMap<>();
     private final List<List<Object>> mFinished = new ArrayList<>();
@@ -59,17 +67,54 @@
     private long mEnds;
     private long mSequence;
 
-    RunnerStub(String id, String address, String control, String service, Record record)
+    RunnerStub(
+            String id, String address, String control, String service, String kind, Record record)
             throws IOException {
         mId = id;
         mAddress = address;
         mControl = control;
         mService = service;
         mRecord = record;
-        mBornAt = record.now();
-        mServer = Http.serve(address, this::handle);
+        boot(kind);
         mTimer.scheduleAtFixedRate(this::advance, 2, 2, TimeUnit.MILLISECONDS);
-        mTimer.scheduleAtFixedRate(this::heartbeat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        mTimer.scheduleAtFixedRate(
+                this::heartbeat, FIRST_HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends the process: everything that runs on it ends, and connections are refused. */
+    synchronized void crash() {
+        mRecord.line("%s crashes", mId);
+        mServer.stop(0);
+        mServer = null;
+        mRunning.values().forEach(run -> {
+            run.mEndedAt = mRecord.now();
+            run.mHow = "crashed";
+        });
+        mRunning.clear();
+        mHighestEnded.clear();
+        mFinished.clear();
+        mToken = 0;
+        mLeaseEnd = 0;
+        mEnds = 0;
+        mSequence = 0;
+    }
+
+    /** Starts again under the same id, as a runner of the given kind. */
+    synchronized void restart(String kind) throws IOException {
+        boot(kind);
+        mTimer.schedule(this::heartbeat, FIRST_HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void boot(String kind) throws IOException {
+        mKind = kind;
+        mBorn = System.currentTimeMillis();
+        mBornAt = mRecord.now();
+        mServer = Http.serve(mAddress, this::handle);
+        mRecord.line("%s starts as a runner of kind %s", mId, kind);
+    }
+
+    synchronized String kind() {
+        return mKind;
     }
 
     synchronized List<Run> runs() {
@@ -81,6 +126,9 @@
     }
 
     private void heartbeat() {
+        if (mServer == null || clock() < FIRST_HEARTBEAT_MILLIS) {
+            return;
+        }
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("service", mService);
         body.put("address", mAddress);
@@ -90,12 +138,19 @@
         body.put("state", "ready");
         body.put("coldMs", 0);
         body.put("capacity", Map.of("cpu", CPU, "memMb", MEMORY, "gpu", 0));
-        body.put("labels", List.of("a", "r1-1"));
+        body.put("labels", List.of(mKind, "r1-1"));
         body.put("clockMs", clock());
         body.put("seq", ++mSequence);
         body.put("born", mBorn);
-        Http.send(mControl, "PUT", "/instances/" + mId, Map.of("Host", mControl),
-                Json.write(body), 1_000);
+        Http.Response response =
+                Http.send(
+                        mControl,
+                        "PUT",
+                        "/instances/" + mId,
+                        Map.of("Host", mControl),
+                        Json.write(body),
+                        1_000);
+        mRecord.line("%s sends heartbeat: kind %s, answer %d", mId, mKind, response.status());
     }
 
     private void handle(HttpExchange exchange) throws IOException {
@@ -141,10 +196,10 @@
             return "old";
         }
         long millis = Long.parseLong(body.get("spec").asText().split(" ")[0]);
-        Run started = new Run(task, run, mRecord.now(), millis);
+        Run started = new Run(this, task, run, mRecord.now(), millis);
         mRunning.put(key, started);
         mAll.add(started);
-        mRecord.line("%s starts %s run %d", mId, task, run);
+        mRecord.line("%s (kind %s) starts %s run %d", mId, mKind, task, run);
         return "";
     }
 
@@ -231,6 +286,8 @@
     @Override
     public void close() {
         mTimer.shutdownNow();
-        mServer.stop(0);
+        if (mServer != null) {
+            mServer.stop(0);
+        }
     }
 }
