--- a/review/tool-3/review3/Caller.java
+++ b/review/tool-3/review3/Caller.java
@@ -8,6 +8,13 @@
 
 /** A client: submits and cancels jobs that need not be stored. */
 final class Caller {
+    private static final long RESEND_MILLIS = 1_300;
+
+    /** How long the tasks of resent jobs take: longer than their clients wait at first. */
+    private static final long LONG_WORK_MILLIS = 6_000;
+
+    private static final int SECOND_BUDGET_MILLIS = 2_500;
+
     private final Fleet mFleet;
     private final Record mRecord;
 
@@ -38,7 +45,7 @@
                 Map.of("spec", millis + " hire", "steps", steps, "bestEffort", true));
     }
 
-    /** Returns a job of equal tasks for runners of a kind. */
+    /** Returns a job of equal tasks, for runners of a kind. */
     static String forKind(String kind, int tasks, long millis) {
         Map<String, Object> step = new LinkedHashMap<>();
         step.put("count", tasks);
@@ -74,6 +81,35 @@
                 task -> Thread.ofVirtual().start(task));
     }
 
+    /**
+     * Submits a job of one long task to entry 0. Without a response, or after a 504, submits it
+     * again to entry 1, one resend delay later.
+     *
+     * @param budgetMillis how long the client waits at first
+     */
+    CompletableFuture<Http.Response> submitUntilAnswered(int job, int budgetMillis) {
+        String id = String.format("%016x", 0xa0 + job);
+        String body = forKind("a", 1, LONG_WORK_MILLIS);
+        return submit(0, id, body, budgetMillis)
+                .thenComposeAsync(
+                        first -> {
+                            if (first.status() != 0 && first.status() != 504) {
+                                return CompletableFuture.completedFuture(first);
+                            }
+                            pause();
+                            return submit(1, id, body, SECOND_BUDGET_MILLIS);
+                        },
+                        task -> Thread.ofVirtual().start(task));
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(RESEND_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Cancels a job. */
     Http.Response cancel(int entry, String id) {
         mRecord.line("client sends DELETE %s to entry %d", id, entry);
--- a/review/tool-3/review3/Fleet.java
+++ b/review/tool-3/review3/Fleet.java
@@ -38,6 +38,7 @@
     private final String mNetwork;
     private final Path mDirectory;
     private final StoreStub mStore;
+    private final Links mLinks;
     private final List<RunnerStub> mRunners = new ArrayList<>();
     private final Map<String, Process> mProcesses = new LinkedHashMap<>();
 
@@ -51,14 +52,21 @@
         mRecord = record;
         mNetwork = freeNetwork(entries, runners);
         mDirectory = Files.createTempDirectory("review-3");
+        mLinks =
+                new Links(
+                        mNetwork.substring(0, mNetwork.lastIndexOf('.')),
+                        PEER_PORT,
+                        runners,
+                        entries);
         mStore = new StoreStub(host(STORE_HOST) + ":" + STORE_PORT);
         mStore.put("op/config", Json.write(configuration()).getBytes());
         for (int entry = 0; entry < entries; entry++) {
-            startRole("entry", "edge-" + entry, host(1 + entry));
+            startRole("entry", "edge-" + entry, host(1 + entry), List.of(host(1), host(2)));
         }
         for (int runner = 0; runner < runners; runner++) {
             String ip = host(FIRST_SIDECAR + runner);
-            startRole("sidecar", "side-" + runner, ip);
+            List<String> seeds = List.of(mLinks.host(runner, 0), mLinks.host(runner, 1));
+            startRole("sidecar", "side-" + runner, ip, seeds);
             mRunners.add(
                     new RunnerStub(
                             "i-" + runner,
@@ -110,6 +118,20 @@
         return host(1 + entry) + ":" + FRONT_PORT;
     }
 
+    /** Returns how many orders all runners have got. */
+    int orders() {
+        return mRunners.stream().mapToInt(RunnerStub::orders).sum();
+    }
+
+    /** Returns how many orders all runners have left unanswered. */
+    int unanswered() {
+        return mRunners.stream().mapToInt(RunnerStub::unanswered).sum();
+    }
+
+    Links links() {
+        return mLinks;
+    }
+
     RunnerStub runner(int number) {
         return mRunners.get(number);
     }
@@ -127,7 +149,8 @@
         new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).inheritIO().start().waitFor();
     }
 
-    private void startRole(String role, String name, String ip) throws IOException {
+    private void startRole(String role, String name, String ip, List<String> seeds)
+            throws IOException {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("node", name);
         fields.put("zone", "zone-1");
@@ -139,7 +162,7 @@
                         "ready", ip + ":" + READY_PORT,
                         "control", ip + ":" + CONTROL_PORT));
         fields.put("internalPortRange", List.of(PEER_PORT, PEER_PORT + 15));
-        fields.put("seeds", List.of(host(1) + ":" + CONTROL_PORT, host(2) + ":" + CONTROL_PORT));
+        fields.put("seeds", seeds.stream().map(host -> host + ":" + CONTROL_PORT).toList());
         fields.put("platform", Map.of("address", host(STORE_HOST) + ":" + STORE_PORT));
         fields.put("bounds", Map.of("holdMaxMs", 1000, "resendMs", 1300, "graceS", 6));
         fields.put("limits", Map.of("cores", 1, "cpuShare", 0.75));
@@ -185,7 +208,7 @@
     private static String freeNetwork(int entries, int runners) {
         Random random = new Random();
         for (int attempt = 0; attempt < 50; attempt++) {
-            String network = "127." + (80 + random.nextInt(150)) + "." + random.nextInt(250);
+            String network = "127." + (80 + random.nextInt(150)) + "." + Links.ENTRY_OCTET;
             boolean free = free(network, STORE_HOST, STORE_PORT);
             for (int entry = 0; entry < entries; entry++) {
                 free =
@@ -234,5 +257,10 @@
             }
         }
         mStore.close();
+        try {
+            mLinks.close();
+        } catch (IOException e) {
+            mRecord.line("could not close a proxy: %s", e);
+        }
     }
 }
--- a/review/tool-3/review3/RunnerStub.java
+++ b/review/tool-3/review3/RunnerStub.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stand-in of a runner, as the platform's protocol describes it. A spec has the form "MILLIS TEXT":
@@ -23,6 +24,9 @@
     private static final long HEARTBEAT_MILLIS = 1_500;
     private static final long LONGEST_LEASE_MILLIS = 1_000;
 
+    /** How late an order that got no answer is carried out. */
+    private static final long LATE_MILLIS = 2_500;
+
     /** The time from when a new boot accepts orders to its first heartbeat. */
     private static final long FIRST_HEARTBEAT_MILLIS = 300;
 
@@ -67,6 +71,14 @@
     private long mEnds;
     private long mSequence;
 
+    /** How many orders the runner has got, and how many of them it has left unanswered. */
+    private final AtomicInteger mOrders = new AtomicInteger();
+
+    private final AtomicInteger mUnanswered = new AtomicInteger();
+
+    /** Until when stops get no answer and are carried out late. */
+    private volatile long mStopsLateUntil;
+
     RunnerStub(
             String id, String address, String control, String service, String kind, Record record)
             throws IOException {
@@ -113,8 +125,18 @@
         mRecord.line("%s starts as a runner of kind %s", mId, kind);
     }
 
-    synchronized String kind() {
-        return mKind;
+    int orders() {
+        return mOrders.get();
+    }
+
+    int unanswered() {
+        return mUnanswered.get();
+    }
+
+    /** Leaves orders to stop runs unanswered for a while, and carries them out late. */
+    void leaveStopsUnanswered(long millis) {
+        mRecord.line("%s leaves orders to stop unanswered for %d ms", mId, millis);
+        mStopsLateUntil = mRecord.now() + millis;
     }
 
     synchronized List<Run> runs() {
@@ -160,9 +182,17 @@
             Http.reply(exchange, 421, Map.of());
             return;
         }
+        mOrders.incrementAndGet();
         switch (exchange.getRequestURI().getPath()) {
             case "/run-start" -> start(exchange, body);
-            case "/run-stop" -> stop(exchange, body);
+            case "/run-stop" -> {
+                if (mRecord.now() < mStopsLateUntil) {
+                    stopLate(body);
+                } else {
+                    stop(body);
+                    Http.reply(exchange, 200, Map.of("clockMs", clock()));
+                }
+            }
             case "/hold" -> hold(exchange, body);
             default -> Http.reply(exchange, 404, Map.of());
         }
@@ -203,20 +233,30 @@
         return "";
     }
 
-    private void stop(HttpExchange exchange, JsonNode body) throws IOException {
-        synchronized (this) {
-            advance();
-            if (!fenced(body)) {
-                String task = body.get("task").asText();
-                int run = body.get("run").asInt();
-                mHighestEnded.merge(task, run, Math::max);
-                Run running = mRunning.get(task + "/" + run);
-                if (running != null) {
-                    end(running, "stopped");
-                }
-            }
+    /** Leaves an order to stop a run unanswered and carries it out late. */
+    private void stopLate(JsonNode body) {
+        mUnanswered.incrementAndGet();
+        mRecord.line("%s leaves the stop of %s unanswered", mId, body.get("task").asText());
+        mTimer.schedule(() -> stop(body), LATE_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            Thread.sleep(LATE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void stop(JsonNode body) {
+        advance();
+        if (fenced(body)) {
+            return;
+        }
+        String task = body.get("task").asText();
+        int run = body.get("run").asInt();
+        mHighestEnded.merge(task, run, Math::max);
+        Run running = mRunning.get(task + "/" + run);
+        if (running != null) {
+            end(running, "stopped");
         }
-        Http.reply(exchange, 200, Map.of("clockMs", clock()));
     }
 
     private void hold(HttpExchange exchange, JsonNode body) throws IOException {
