--- a/review/tool-3/review3/CutOffSidecar.java
+++ b/review/tool-3/review3/CutOffSidecar.java
@@ -8,8 +8,8 @@
 /**
  * Jobs of one task each run longer than their clients wait, whose time budgets end one after the
  * other. With the disruption, a sidecar is cut off from all entries in the midst of that, and its
- * runner leaves orders to stop unanswered for a while. The clients send their jobs again, one resend
- * delay after they got no answer or 504, to the other entry.
+ * runner leaves orders to stop unanswered for a while. The clients send their jobs again to the
+ * other entry, one resend delay after they got no answer or 504.
  */
 final class CutOffSidecar {
     private static final int JOBS = 48;
--- a/review/tool-3/review3/Links.java
+++ b/review/tool-3/review3/Links.java
@@ -11,9 +11,10 @@
 import java.util.List;
 
 /**
- * Proxies between sidecars and entries, which can cut a sidecar off from some entries or all: what is
- * on its way meanwhile is delivered when the cut has healed. An entry tells a sidecar the addresses of all entries; the
- * proxies replace them, by others of the same length, by the addresses of the sidecar's proxies.
+ * Proxies between sidecars and entries, which can cut a sidecar off from some entries or from all:
+ * what is on its way meanwhile is delivered when the cut has healed. An entry tells a sidecar the
+ * addresses of all entries; the proxies replace them by those of the sidecar's proxies, which are
+ * as long.
  *
  * <p>Entries have addresses 127.X.100.N; the proxies of sidecar S have 127.X.(120+S).N.
  */
--- a/review/tool-3/review3/Record.java
+++ b/review/tool-3/review3/Record.java
@@ -7,7 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** The record of a case: one line for each thing sent, answered or run, with the time since start. */
+/** The record of a case: a line for each thing sent, answered or run, with the time since start. */
 final class Record implements AutoCloseable {
     private final long mStartNanos = System.nanoTime();
     private final PrintWriter mWriter;
--- a/review/tool-3/review3/RunnerOfOtherKind.java
+++ b/review/tool-3/review3/RunnerOfOtherKind.java
@@ -9,6 +9,7 @@
  */
 final class RunnerOfOtherKind {
     private static final String KIND = "a";
+    private static final List<String> KINDS = List.of(KIND, KIND, "b", "b", "b", "b", "b", "b");
     private static final long DOWN_MILLIS = 500;
     private static final int JOBS = 40;
 
@@ -18,7 +19,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int exit = 2;
         try (Record record = new Record(Path.of(arguments[0]));
-                Fleet fleet = new Fleet(record, 2, List.of(KIND, KIND, "b"))) {
+                Fleet fleet = new Fleet(record, 2, KINDS)) {
             fleet.awaitReady(2);
             Caller caller = new Caller(fleet, record);
             caller.submit(0, id(1_000), Caller.forKind(KIND, 16, 1_500), 6_000);
--- a/review/tool-3/review3/UnconfirmedStop.java
+++ b/review/tool-3/review3/UnconfirmedStop.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Jobs of one task each run longer than their clients wait. With the disruption, entry 1 has no path
- * to one sidecar, whose runner leaves orders to stop unanswered and carries them out late. The
+ * Jobs of one task each run longer than their clients wait. With the disruption, entry 1 has no
+ * path to one sidecar, whose runner leaves orders to stop unanswered and carries them out late. The
  * clients send their jobs again to entry 1, one resend delay after they got no response or 504.
  */
 final class UnconfirmedStop {
