--- a/review/tool-3/review3/RunnerStub.java
+++ b/review/tool-3/review3/RunnerStub.java
@@ -1,6 +1,7 @@
 package review3;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -79,6 +80,9 @@
     /** Until when stops get no answer and are carried out late. */
     private volatile long mStopsLateUntil;
 
+    /** Until when all orders get no answer and are carried out late. */
+    private volatile long mOrdersLateUntil;
+
     RunnerStub(
             String id, String address, String control, String service, String kind, Record record)
             throws IOException {
@@ -133,6 +137,12 @@
         return mUnanswered.get();
     }
 
+    /** Leaves all orders unanswered for a while, and carries them out late. */
+    void leaveOrdersUnanswered(long millis) {
+        mRecord.line("%s leaves orders unanswered for %d ms", mId, millis);
+        mOrdersLateUntil = mRecord.now() + millis;
+    }
+
     /** Leaves orders to stop runs unanswered for a while, and carries them out late. */
     void leaveStopsUnanswered(long millis) {
         mRecord.line("%s leaves orders to stop unanswered for %d ms", mId, millis);
@@ -183,6 +193,10 @@
             return;
         }
         mOrders.incrementAndGet();
+        if (mRecord.now() < mOrdersLateUntil) {
+            executeLate(exchange.getRequestURI().getPath(), body);
+            return;
+        }
         switch (exchange.getRequestURI().getPath()) {
             case "/run-start" -> start(exchange, body);
             case "/run-stop" -> {
@@ -233,6 +247,45 @@
         return "";
     }
 
+    /** Leaves an order unanswered and carries it out late; its lease counts from then. */
+    private void executeLate(String path, JsonNode body) {
+        mUnanswered.incrementAndGet();
+        if (!path.equals("/hold")) {
+            mRecord.line("%s leaves %s of %s unanswered", mId, path, body.get("task").asText());
+        }
+        long leaseMillis = Math.max(0, body.path("deadlineMs").asLong(0) - clock());
+        mTimer.schedule(
+                () -> {
+                    ObjectNode late = body.deepCopy();
+                    if (leaseMillis > 0) {
+                        late.put("deadlineMs", clock() + leaseMillis);
+                    }
+                    execute(path, late);
+                },
+                LATE_MILLIS,
+                TimeUnit.MILLISECONDS);
+        try {
+            Thread.sleep(LATE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void execute(String path, JsonNode body) {
+        switch (path) {
+            case "/run-start" ->
+                    mRecord.line(
+                            "%s carries out the start of %s late: %s",
+                            mId, body.get("task").asText(), startReason(body));
+            case "/run-stop" -> stop(body);
+            default -> {
+                if (!fenced(body)) {
+                    extendLease(body.path("deadlineMs").asLong(0));
+                }
+            }
+        }
+    }
+
     /** Leaves an order to stop a run unanswered and carries it out late. */
     private void stopLate(JsonNode body) {
         mUnanswered.incrementAndGet();
