Keep a run past its lease while its target may still start it

Cause: a target may carry out a start that it left unanswered seconds later. RunTable ended all runs when the lease must have expired, also those whose start was unanswered and whose stop was unconfirmed, and stopped repeating their stops. A lease bounds what runs, not what was ordered.

Change: such a run is kept until the target's word: a confirmed stop, a refusal, a new incarnation that confirms the stop, its withdrawal; or until no process has listened there for as long as a lease lasts. Other runs end with the lease as before. New: log line run-kept, counter runs_kept_past_lease.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -52,11 +52,15 @@
 
     /** Starts a run of the owner, which the target confirms. */
     void start(Run run) {
-        PoolMessage.StartTask task = new PoolMessage.StartTask(run, QUEUE, "", new Demand(1, 0, 0));
-        send(OWNER, new PoolMessage.Start(1, mNow, List.of(task)));
+        send(OWNER, new PoolMessage.Start(1, mNow, List.of(task(run))));
         handle(new PoolSidecarEvent.StartAnswered(run, StartReply.STARTED));
     }
 
+    /** Returns the request to start a run that needs one core. */
+    static PoolMessage.StartTask task(Run run) {
+        return new PoolMessage.StartTask(run, QUEUE, "", new Demand(1, 0, 0));
+    }
+
     void send(NodeId entry, PoolMessage message) {
         handle(new PoolSidecarEvent.EntrySent(entry, message));
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -54,6 +54,11 @@
     RUNS_LOST(10),
     /** A run counts as ended although its target has not reported its end. */
     RUN_LOST(30),
+    /**
+     * A run is kept although its lease has expired: its target has neither answered the start
+     * request nor confirmed the stop, and may still start it.
+     */
+    RUN_KEPT(20),
     /** A run exceeds its expected time by far; it is stopped, and its task placed elsewhere. */
     RUN_OVERDUE(20),
     /** A job waits for the end of runs of an earlier request, here or at another entry. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -33,6 +33,9 @@
     /** Whether that incarnation has announced since that it leaves, or has withdrawn. */
     boolean mTargetLeft;
 
+    /** Whether that incarnation has withdrawn its announcement since, which it does at its end. */
+    boolean mTargetWithdrawn;
+
     State mState = State.STARTING;
 
     /**
@@ -51,6 +54,9 @@
     /** Whether the run was reported as one that may have crashed its target. */
     boolean mSuspected;
 
+    /** Whether the run was kept when the lease expired, as it may still start. */
+    boolean mKeptPastLease;
+
     /** Whether the latest stop order still awaits its answer or timeout. */
     boolean mStopInFlight;
 
@@ -79,6 +85,15 @@
         return mStarted;
     }
 
+    /**
+     * Returns whether the target may still start the run: it has neither answered the start order
+     * nor confirmed a stop, and has not withdrawn. The end of a lease does not change this, as a
+     * target may carry out an order that it left unanswered seconds later.
+     */
+    boolean mayStartLater() {
+        return !mStarted && !mTargetWithdrawn && mConclusivePoll == Long.MAX_VALUE;
+    }
+
     /** Returns whether the run is known to have started, on a target that has not left since. */
     boolean mayHaveCrashedTarget() {
         return !mTargetLeft && mStarted;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -223,7 +223,7 @@
     private void onWithdrawn(String targetName) {
         if (target().filter(target -> target.id().equals(targetName)).isPresent()) {
             mKnownTarget.onWithdrawn();
-            mRuns.onTargetLeft();
+            mRuns.onTargetWithdrawn();
         }
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCounter.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCounter.java
@@ -26,6 +26,8 @@
     RUNS_LOST_REPLACED,
     /** Lost runs whose lease has expired. */
     RUNS_LOST_LEASE_EXPIRED,
+    /** Runs that were kept when their lease expired, as the target may still start them. */
+    RUNS_KEPT_PAST_LEASE,
     /** Runs that were stopped because the entry that placed them is lost. */
     RUNS_ORPHANED,
     /** Runs in a snapshot that this process does not hold; counted again in each snapshot. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunEnds.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunEnds.java
@@ -1,5 +1,6 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -54,19 +55,40 @@
     }
 
     /**
-     * Ends all runs, as their lease has expired.
+     * Ends the runs whose lease has expired; keeps those that the target may still start.
      *
      * @param crashed whether the target seems to have crashed
+     * @param gone whether its process has ended, so that it starts nothing any more
      * @param silentMillis for how long the target was silent, in milliseconds
      */
-    void endAll(boolean crashed, long silentMillis) {
+    void endExpired(boolean crashed, boolean gone, long silentMillis) {
+        List<HeldRun> expired = new ArrayList<>();
+        for (HeldRun held : mHeldRuns.values()) {
+            if (!gone && held.mayStartLater()) {
+                keepPastLease(held);
+            } else {
+                expired.add(held);
+            }
+        }
+        if (expired.isEmpty()) {
+            return;
+        }
         EventLog.line(Event.RUNS_LOST)
-                .with("runs", mHeldRuns.runs())
+                .with("runs", expired.stream().map(held -> held.mStartTask.run()).toList())
                 .with("silent_ms", silentMillis)
                 .with("crashed", crashed)
                 .write();
-        List.copyOf(mHeldRuns.values())
-                .forEach(held -> endLost(held, crashed, EndEvidence.LEASE_EXPIRED, silentMillis));
+        expired.forEach(held -> endLost(held, crashed, EndEvidence.LEASE_EXPIRED, silentMillis));
+    }
+
+    private void keepPastLease(HeldRun held) {
+        if (!held.mKeptPastLease) {
+            held.mKeptPastLease = true;
+            mCounter.accept(PoolSidecarCounter.RUNS_KEPT_PAST_LEASE);
+            RunLog.line(Event.RUN_KEPT, held.mStartTask.run())
+                    .with("target", held.mTarget.id())
+                    .write();
+        }
     }
 
     private void endLost(HeldRun held, boolean crashed, EndEvidence evidence, long silentMillis) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.log.Event;
 import org.jackdawsaddle.internal.log.EventLog;
@@ -19,8 +20,9 @@
 
 /**
  * The runs that a sidecar has ordered its target to start, reconciled with the target's snapshots.
- * A run keeps its capacity until the target has refused it or reported its end, a snapshot that was
- * requested after the order was answered omits it, or the target's lease has expired.
+ * A run keeps its capacity until the target has refused it or reported its end, or a snapshot that
+ * was requested after the order was answered omits it. The expiry of the target's lease ends it as
+ * well, unless the target may still start it, see {@link HeldRun#mayStartLater}.
  */
 final class RunTable {
     private static final long STOP_RETRY_MILLIS = 100;
@@ -107,11 +109,19 @@
         }
     }
 
-    /** Records that the target leaves, or has left: the runs lost with it have not crashed it. */
-    void onTargetLeft() {
-        mHeldRuns.values().stream()
-                .filter(held -> current(held.mTarget))
-                .forEach(held -> held.mTargetLeft = true);
+    /** Records that the target leaves: the runs lost with it have not crashed it. */
+    private void onTargetLeft() {
+        runsOfCurrentTarget().forEach(held -> held.mTargetLeft = true);
+    }
+
+    /** Records that the target has withdrawn its announcement, after which its process ends. */
+    void onTargetWithdrawn() {
+        onTargetLeft();
+        runsOfCurrentTarget().forEach(held -> held.mTargetWithdrawn = true);
+    }
+
+    private Stream<HeldRun> runsOfCurrentTarget() {
+        return mHeldRuns.values().stream().filter(held -> current(held.mTarget));
     }
 
     /**
@@ -271,7 +281,7 @@
         if (mLiveness.seemsGone()) {
             mEnds.reportSuspects();
         }
-        endAllIfLeaseHasExpired();
+        endRunsIfLeaseHasExpired();
     }
 
     private void onSnapshot(TargetIncarnation target, long number, RunSnapshot snapshot) {
@@ -330,7 +340,7 @@
                 sendStopOrder(held);
             }
         }
-        endAllIfLeaseHasExpired();
+        endRunsIfLeaseHasExpired();
     }
 
     /** Returns whether anything is left to learn from the target, to acknowledge or to renew. */
@@ -379,9 +389,9 @@
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
 
-    private void endAllIfLeaseHasExpired() {
+    private void endRunsIfLeaseHasExpired() {
         if (!mHeldRuns.isEmpty() && mLiveness.leaseHasExpired()) {
-            mEnds.endAll(mLiveness.seemsGone(), mLiveness.silentMillis());
+            mEnds.endExpired(mLiveness.seemsGone(), mLiveness.gone(), mLiveness.silentMillis());
         }
     }
 }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/TargetLiveness.java
@@ -54,6 +54,12 @@
     /** Number of consecutive polls that found no process at the target's address. */
     private int mUnreachablePollCount;
 
+    /**
+     * For how long at least the latest polls have all found no process, whatever the clock says, in
+     * milliseconds.
+     */
+    private long mUnreachableMillis;
+
     /**
      * The end of the latest lease that the target may have received, but for that of the poll in
      * flight, in milliseconds on the target's clock.
@@ -80,6 +86,7 @@
     /** Records that the target has answered an order, or starts to count its silence from now. */
     void recordHeard() {
         mUnreachablePollCount = 0;
+        mUnreachableMillis = 0;
         mLastHeardAt = mNow;
     }
 
@@ -99,6 +106,7 @@
      */
     void recordUnanswered(TargetIncarnation target, long pollMillis) {
         keepPolledLease();
+        mUnreachableMillis = 0;
         countUnanswered(target, pollMillis + PollSchedule.RETRY_MILLIS);
     }
 
@@ -109,6 +117,7 @@
     void recordUnreachable(TargetIncarnation target) {
         mPollLeaseEnd = 0;
         mUnreachablePollCount++;
+        mUnreachableMillis += PollSchedule.RETRY_MILLIS;
         countUnanswered(target, PollSchedule.RETRY_MILLIS);
     }
 
@@ -131,6 +140,14 @@
         return mUnreachablePollCount >= GONE_AFTER_UNREACHABLE;
     }
 
+    /**
+     * Returns whether the target's process has ended: all polls have found none for as long as a
+     * lease lasts. It can then carry out no order that it left unanswered.
+     */
+    boolean gone() {
+        return mUnreachableMillis >= MIN_POLLED_SILENCE_MILLIS;
+    }
+
     /** Sets the clock offset from a reading of the target's clock received now, in milliseconds. */
     void recordClock(long clock) {
         mClockOffset = clock - mNow;
