Let the lease of a run expire whose stop is overdue

Cause: two entries that share no path to a sidecar are kept apart only by the resend delay of 1.3 s, and nothing bounded how long a run may outlive its caller if its stop is not confirmed: the sidecar went on renewing the lease, here for 2.7 s.

Change: 300 ms after a stop was ordered the sidecar renews the lease no more until the target has confirmed it. Runs that have not started hold no renewal back.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -59,7 +59,8 @@
 
     /**
      * A run that has not ended this long after its stop was ordered is reported to the other
-     * entries: their callers may send its job again.
+     * entries, as their callers may send its job again; and its lease is no longer renewed until
+     * the target has confirmed the stop.
      */
     public static final long STOP_TIMEOUT_MILLIS = 300;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -113,6 +113,20 @@
         return mState == State.STOPPING && unconfirmed ? mStopDueAt : Long.MAX_VALUE;
     }
 
+    /**
+     * Returns whether the lease must not be renewed, so that it ends the run: its entry is lost, or
+     * its stop is overdue.
+     *
+     * @param now in milliseconds since the epoch
+     */
+    boolean mustLapse(long now) {
+        return mOrphaned || mStarted && stopOverdue(now);
+    }
+
+    private boolean stopOverdue(long now) {
+        return now >= mStopExpiresAt && mConclusivePoll == Long.MAX_VALUE;
+    }
+
     /**
      * Returns when the stop of the run expires, in milliseconds since the epoch; {@code
      * Long.MAX_VALUE} if none is requested or it already has.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -75,9 +75,13 @@
         return mRuns.keySet().stream().anyMatch(run -> run.task().equals(task));
     }
 
-    /** Returns whether any run is left whose entry is lost. */
-    boolean anyOrphaned() {
-        return mRuns.values().stream().anyMatch(held -> held.mOrphaned);
+    /**
+     * Returns whether any run is left that must end with the lease, which all runs share.
+     *
+     * @param now in milliseconds since the epoch
+     */
+    boolean anyMustLapse(long now) {
+        return mRuns.values().stream().anyMatch(held -> held.mustLapse(now));
     }
 
     /** Returns the entries that own the runs. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -146,7 +146,7 @@
                         target,
                         task.run(),
                         task.payload(),
-                        mLiveness.requestLeaseByStart(!mHeldRuns.anyOrphaned()),
+                        mLiveness.requestLeaseByStart(!mHeldRuns.anyMustLapse(mNow)),
                         mFencingToken));
     }
 
@@ -373,7 +373,7 @@
         mPolls.onSent();
         boolean renew =
                 !mHeldRuns.isEmpty()
-                        && !mHeldRuns.anyOrphaned()
+                        && !mHeldRuns.anyMustLapse(mNow)
                         && !mLiveness.leaseMayHaveExpired();
         mActions.add(
                 new PoolSidecarAction.Poll(
