Renew no lease while nothing is heard of an entry with runs

Cause: the same as for stops that are overdue, on the path without a request to stop: 600 ms of silence, 300 ms of waiting and a lease of 750 ms make 1,650 ms, where callers send their jobs again after 1,300.

Change: the lease is not renewed while an entry with runs there is lost, or has sent nothing for 450 ms (three heartbeats). RunEndBounds has the sum (1,200 ms). Runs are stopped when they were before.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -23,6 +23,12 @@
     /** How long a sidecar keeps the runs of a disconnected entry before it stops them. */
     public static final long RECONNECT_TIMEOUT_MILLIS = 300;
 
+    /**
+     * A sidecar renews no lease while it holds runs of an entry that has sent nothing for this
+     * long: the entry may have lost the caller meanwhile.
+     */
+    public static final long RENEWAL_SILENCE_MILLIS = 450;
+
     /** The interval of heartbeats between entries. */
     public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunEndBounds.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/RunEndBounds.java
@@ -18,6 +18,15 @@
         return PoolTiming.STOP_TIMEOUT_MILLIS + longestLeaseMillis();
     }
 
+    /**
+     * Returns the bound for a run whose sidecar hears nothing more from its entry, from the time at
+     * which the path was cut or the entry stood still: the caller may leave just then. The sidecar
+     * renews the lease until the silence is too long.
+     */
+    public static long silentEntryMillis() {
+        return PoolTiming.RENEWAL_SILENCE_MILLIS + longestLeaseMillis();
+    }
+
     private static long longestLeaseMillis() {
         return PoolTiming.LEASE_MILLIS + PoolTiming.LEASE_SLACK_MILLIS;
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryTable.java
@@ -41,6 +41,11 @@
         return find(entry).map(view -> view.unsettled(now)).orElse(true);
     }
 
+    /** Returns whether the lease of an entry's runs must not be renewed, as nothing is heard. */
+    boolean silent(NodeId entry, long now) {
+        return find(entry).map(view -> view.silent(now)).orElse(true);
+    }
+
     /** Returns whether the runs of an entry must end: it was lost for too long. */
     boolean reconnectTimedOut(NodeId entry, long now) {
         return find(entry).map(view -> view.reconnectTimedOut(now)).orElse(true);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -128,6 +128,14 @@
                         : PoolTiming.IDLE_CONNECTION_TIMEOUT_MILLIS);
     }
 
+    /**
+     * Returns whether the entry has been silent for so long, or is lost, that the lease of its runs
+     * must not be renewed.
+     */
+    boolean silent(long now) {
+        return lost() || now - mLastHeardAt > PoolTiming.RENEWAL_SILENCE_MILLIS;
+    }
+
     /** Returns whether the entry was lost so long ago that its runs must end. */
     boolean reconnectTimedOut(long now) {
         return lost() && now >= reconnectTimeoutAt();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -54,7 +54,14 @@
     public PoolSidecarCore(NodeId self, String dataCentre, long fencingToken, long leaseMillis) {
         mSelf = self;
         mDataCentre = dataCentre;
-        mRuns = new RunTable(mActions, this::report, this::count, fencingToken, leaseMillis);
+        mRuns =
+                new RunTable(
+                        mActions,
+                        this::report,
+                        this::count,
+                        entry -> mEntries.silent(entry, mNow),
+                        fencingToken,
+                        leaseMillis);
     }
 
     /**
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -31,6 +31,7 @@
     private final Consumer<PoolSidecarCounter> mCounter;
     private final long mFencingToken;
     private final TargetLiveness mLiveness;
+    private final Predicate<NodeId> mSilentEntries;
     private final HeldRuns mHeldRuns = new HeldRuns();
     private final RunEnds mEnds;
 
@@ -39,15 +40,23 @@
     private boolean mReconciled;
     private long mNow;
 
+    /**
+     * Creates a table without a target.
+     *
+     * @param silentEntries tells whether nothing is heard of an entry, so that the lease of its
+     *     runs must not be renewed
+     */
     RunTable(
             List<PoolSidecarAction> actions,
             RunReporter reporter,
             Consumer<PoolSidecarCounter> counter,
+            Predicate<NodeId> silentEntries,
             long fencingToken,
             long leaseMillis) {
         mActions = actions;
         mEnds = new RunEnds(mHeldRuns, reporter, counter);
         mCounter = counter;
+        mSilentEntries = silentEntries;
         mFencingToken = fencingToken;
         mLiveness = new TargetLiveness(leaseMillis);
     }
@@ -146,7 +155,7 @@
                         target,
                         task.run(),
                         task.payload(),
-                        mLiveness.requestLeaseByStart(!mHeldRuns.anyMustLapse(mNow)),
+                        mLiveness.requestLeaseByStart(renewable()),
                         mFencingToken));
     }
 
@@ -371,10 +380,7 @@
             return;
         }
         mPolls.onSent();
-        boolean renew =
-                !mHeldRuns.isEmpty()
-                        && !mHeldRuns.anyMustLapse(mNow)
-                        && !mLiveness.leaseMayHaveExpired();
+        boolean renew = renewable() && !mLiveness.leaseMayHaveExpired();
         mActions.add(
                 new PoolSidecarAction.Poll(
                         mTarget.get(),
@@ -385,6 +391,13 @@
                         mFencingToken));
     }
 
+    /** Returns whether all runs may go on for another lease. */
+    private boolean renewable() {
+        return !mHeldRuns.isEmpty()
+                && !mHeldRuns.anyMustLapse(mNow)
+                && mHeldRuns.owners().stream().noneMatch(mSilentEntries);
+    }
+
     private boolean current(TargetIncarnation target) {
         return mTarget.filter(target::sameIncarnation).isPresent();
     }
