Take over the announced target as soon as a configuration names only it

Change: the latest announcement of another service is remembered, and taken over at once when a configuration names only that; no target is saved whose service the configuration does not name. The logs of a sidecar now tell when it got which configuration, and the service of its target.

Evidence: OddServiceTest, 4 of 7 failed before (expected [true] but found [false]; a saved target where none is expected).

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/OddServiceTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/OddServiceTest.java
@@ -1,5 +1,6 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -20,6 +21,9 @@
     private static final TargetIncarnation ODD =
             new TargetIncarnation(
                     "odd", 9, 1, "unnamed", "", TARGET.capacity(), List.of(), false, 0);
+    private static final TargetIncarnation ODD_AGAIN =
+            new TargetIncarnation(
+                    "odd", 9, 2, "unnamed", "", TARGET.capacity(), List.of(), false, 0);
 
     private void configure() {
         PoolQueue queue = new PoolQueue(QUEUE, "h", "/c/", TARGET.service(), 0, 3, 1.6, 60, 0);
@@ -43,8 +47,7 @@
     /** The odd announcement comes first after a restart of the sidecar. */
     @Test
     public void returnsToItsTargetOnceTheConfigurationIsKnown() {
-        mCore = new PoolSidecarCore(new NodeId("sidecar", 2), "here", 8, LEASE_MILLIS);
-        handle(new PoolSidecarEvent.EntryConnected(OWNER));
+        restartSidecar();
         handle(new PoolSidecarEvent.TargetAnnounced(ODD));
         answerPollAs(ODD);
         assertTrue(mCore.serving(), "nothing tells that it is odd");
@@ -54,4 +57,58 @@
         answerPoll();
         assertTrue(mCore.serving());
     }
+
+    /** The configuration comes last after a restart of the sidecar. */
+    @Test
+    public void returnsToItsTargetAtOnceWhenTheConfigurationArrives() {
+        restartSidecar();
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD));
+        handle(new PoolSidecarEvent.TargetAnnounced(TARGET));
+        configure();
+        answerPoll();
+        assertTrue(mCore.serving());
+    }
+
+    /** An earlier process has saved the odd target. */
+    @Test
+    public void returnsToItsTargetIfTheOddOneWasLoaded() {
+        restartSidecar();
+        handle(new PoolSidecarEvent.TargetLoaded(ODD));
+        handle(new PoolSidecarEvent.TargetAnnounced(TARGET));
+        configure();
+        answerPoll();
+        assertTrue(mCore.serving());
+    }
+
+    /** The saved target arrives after the odd announcement, and before the configuration. */
+    @Test
+    public void returnsToItsTargetIfTheOddOneIsAnnouncedAgain() {
+        restartSidecar();
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD));
+        handle(new PoolSidecarEvent.TargetLoaded(TARGET.withSequenceReset()));
+        handle(new PoolSidecarEvent.TargetAnnounced(TARGET));
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD_AGAIN));
+        configure();
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD_AGAIN));
+        answerPoll();
+        assertTrue(mCore.serving());
+    }
+
+    /** A saved odd target would meet the next process of this sidecar first. */
+    @Test
+    public void savesNoTargetThatTheConfigurationDoesNotName() {
+        restartSidecar();
+        configure();
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD));
+        tick();
+        assertEquals(mSaved, List.of());
+        handle(new PoolSidecarEvent.TargetAnnounced(TARGET));
+        tick();
+        assertEquals(mSaved, List.of(TARGET.withSequenceReset()));
+    }
+
+    private void restartSidecar() {
+        mCore = new PoolSidecarCore(new NodeId("sidecar", 2), "here", 8, LEASE_MILLIS);
+        handle(new PoolSidecarEvent.EntryConnected(OWNER));
+    }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -35,6 +35,7 @@
     long mLatestLeaseEnd;
 
     final List<Run> mStops = new ArrayList<>();
+    final List<TargetIncarnation> mSaved = new ArrayList<>();
     final List<PoolSidecarAction.SendToEntry> mSent = new ArrayList<>();
 
     @BeforeMethod
@@ -42,6 +43,7 @@
         mNow = START_MILLIS;
         mLatestLeaseEnd = 0;
         mStops.clear();
+        mSaved.clear();
         mCore = new PoolSidecarCore(new NodeId("sidecar", 1), "here", 7, LEASE_MILLIS);
         handle(new PoolSidecarEvent.EntryConnected(OWNER));
         handle(new PoolSidecarEvent.EntryConnected(OTHER));
@@ -108,6 +110,7 @@
                     mLatestLeaseEnd = Math.max(mLatestLeaseEnd, poll.leaseUntil().orElse(0L));
                 }
                 case PoolSidecarAction.StopRun stop -> mStops.add(stop.run());
+                case PoolSidecarAction.SaveTarget save -> mSaved.add(save.target());
                 case PoolSidecarAction.SendToEntry send -> mSent.add(send);
                 default -> {}
             }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
@@ -17,6 +17,12 @@
 
     private Optional<TargetIncarnation> mTarget = Optional.empty();
 
+    /**
+     * The latest announcement of another service than that of the known target; empty if there is
+     * none. Until the configuration is known, either may be that of another writer.
+     */
+    private Optional<TargetIncarnation> mRival = Optional.empty();
+
     /**
      * When the latest announcement of this incarnation times out, in milliseconds since the epoch;
      * 0 if there is none or the target withdrew it.
@@ -63,25 +69,46 @@
      * changes its service: an announcement of another service is that of another writer and is
      * logged, unless only the known one is of a service that the configuration does not name.
      *
-     * @param namesService whether the configuration names a service
+     * @param namesService whether the configuration names a service; false without a configuration
      */
     boolean accepts(TargetIncarnation announced, Predicate<String> namesService) {
         if (mTarget.filter(known -> !known.service().equals(announced.service())).isEmpty()) {
             return !supersedes(announced);
         }
-        boolean corrects =
-                namesService.test(announced.service())
-                        && !namesService.test(mTarget.orElseThrow().service());
+        boolean corrects = corrects(announced, namesService);
         if (!corrects) {
+            mRival = Optional.of(announced);
             EventLog.line(Event.INPUT_UNREADABLE)
                     .with("input", "announcement")
                     .with("target", announced.id())
                     .with("field", "service")
+                    .with("service", announced.service())
+                    .with("known", mTarget.orElseThrow().service())
                     .write();
         }
         return corrects;
     }
 
+    /**
+     * Returns the announcement that must replace the known target as a new configuration names only
+     * its service, and forgets it; empty if there is none.
+     *
+     * @param namesService whether the configuration names a service
+     */
+    Optional<TargetIncarnation> takeCorrection(Predicate<String> namesService) {
+        Optional<TargetIncarnation> correction =
+                mRival.filter(rival -> corrects(rival, namesService));
+        if (correction.isPresent()) {
+            mRival = Optional.empty();
+        }
+        return correction;
+    }
+
+    private boolean corrects(TargetIncarnation announced, Predicate<String> namesService) {
+        return namesService.test(announced.service())
+                && mTarget.filter(known -> namesService.test(known.service())).isEmpty();
+    }
+
     /**
      * Returns whether an announcement is not newer than what is known: it was repeated, delayed in
      * transit or comes from an earlier incarnation.
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -156,9 +156,30 @@
 
     private void onAnnounced(TargetIncarnation target) {
         if (mKnownTarget.accepts(target, mRelayed::namesService)) {
-            Optional<TargetIncarnation> before = target();
-            mKnownTarget.onAnnounced(target, mNow);
-            onTargetChanged(before, target);
+            adopt(target);
+        }
+    }
+
+    private void adopt(TargetIncarnation announced) {
+        Optional<TargetIncarnation> before = target();
+        mKnownTarget.onAnnounced(announced, mNow);
+        onTargetChanged(before, announced);
+    }
+
+    /**
+     * Takes over a newer configuration. It tells which announcement was that of another writer, if
+     * targets of several services have been announced.
+     */
+    private void onConfiguration(NodeId entry, PoolMessage.ConfigurationPush push) {
+        long before = mRelayed.configurationVersion();
+        mRelayed.onConfiguration(push);
+        if (push.version() > before) {
+            EventLog.line(Event.CONFIGURATION_APPLIED)
+                    .with("version", push.version())
+                    .with("before", before)
+                    .with("source", entry)
+                    .write();
+            mKnownTarget.takeCorrection(mRelayed::namesService).ifPresent(this::adopt);
         }
     }
 
@@ -221,8 +242,10 @@
         }
     }
 
+    /** Saves the target, unless the configuration shows that it is that of another writer. */
     private void saveIfDue() {
-        target().filter(target -> mSavedTarget.takeDue(target, mNow))
+        target().filter(target -> !mRelayed.contradicts(target.service()))
+                .filter(target -> mSavedTarget.takeDue(target, mNow))
                 .ifPresent(target ->
                         mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset())));
     }
@@ -273,7 +296,7 @@
             case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
             case PoolMessage.Resume resume -> onResume(entry, resume.runs());
             case PoolMessage.Ping ping -> onPing(entry, view, ping);
-            case PoolMessage.ConfigurationPush push -> mRelayed.onConfiguration(push);
+            case PoolMessage.ConfigurationPush push -> onConfiguration(entry, push);
             case PoolMessage.EvacuationPush push -> onEvacuation(entry, push);
             default ->
                     throw new IllegalArgumentException(
@@ -359,7 +382,9 @@
     /** Returns when the target's announcement times out or its incarnation must be saved. */
     private long targetDeadline(TargetIncarnation target) {
         long expiresAt = mKnownTarget.announcementExpiresAt(mNow);
-        return Math.min(expiresAt, mSavedTarget.dueAt(target));
+        return mRelayed.contradicts(target.service())
+                ? expiresAt
+                : Math.min(expiresAt, mSavedTarget.dueAt(target));
     }
 
     private void onTick() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
@@ -56,6 +56,11 @@
         return mServices.filter(services -> services.contains(service)).isPresent();
     }
 
+    /** Returns whether the configuration does not name a service; false without a configuration. */
+    boolean contradicts(String service) {
+        return mConfiguration.isPresent() && !namesService(service);
+    }
+
     private static Set<String> services(PoolMessage.ConfigurationPush push) {
         return Json.read(push.text(), PoolConfiguration.class).queues().stream()
                 .map(PoolQueue::service)
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -107,6 +107,7 @@
         } else {
             EventLog.line(Event.TARGET_FOUND)
                     .with("target", target.id())
+                    .with("service", target.service())
                     .with("started_at", target.startedAt())
                     .with("runs", mHeldRuns.runs().size())
                     .write();
