--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PlacementTest.java
@@ -43,7 +43,7 @@
         SidecarView sidecar = sidecar("a", 0);
         sidecar.onTick(NOW);
         sidecar.onTick(NOW);
-        sidecar.onRoom(new PoolMessage.Room(new Demand(16, 1_000, 0), true, NOW, 0, List.of()));
+        sidecar.onRoom(new PoolMessage.Room(new Demand(16, 1_000, 0), true, NOW, 0, 0, List.of()));
         assertEquals(chooseTarget(List.of(sidecar), 85, 0), "target-a");
         assertEquals(chooseSidecar(List.of(sidecar), 85, 1_000), Optional.empty());
         sidecar.onTick(NOW);
@@ -80,7 +80,7 @@
                                 0));
         sidecar.onConnected(NOW);
         sidecar.onRoom(
-                new PoolMessage.Room(new Demand(freeCores, 1_000, 0), true, NOW, 0, List.of()));
+                new PoolMessage.Room(new Demand(freeCores, 1_000, 0), true, NOW, 0, 0, List.of()));
         sidecar.onTick(NOW);
         sidecar.onTick(NOW);
         return sidecar;
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolEntryCoreTestBase.java
@@ -95,11 +95,22 @@
         reportRoom(sidecar, 16, List.of());
     }
 
+    /** Lets a sidecar report its state; its target has answered all starts. */
     void reportRoom(NodeId sidecar, double cores, List<String> orphans) {
+        reportRoom(sidecar, cores, Long.MAX_VALUE, orphans);
+    }
+
+    void reportRoom(NodeId sidecar, double cores, long settledStarts, List<String> orphans) {
         mCore.handle(
                 new PoolEntryEvent.SidecarSent(
                         sidecar,
-                        new PoolMessage.Room(new Demand(cores, 1_000, 0), true, mNow, 0, orphans)),
+                        new PoolMessage.Room(
+                                new Demand(cores, 1_000, 0),
+                                true,
+                                mNow,
+                                0,
+                                settledStarts,
+                                orphans)),
                 mNow);
         collectActions();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongConsumer;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.standin.platform.WorkerModel;
 
@@ -56,6 +57,9 @@
     /** The share of orders that arrive seconds late. */
     double mLateOrderProbability;
 
+    /** Whether the lease that a late order grants counts from its arrival. */
+    boolean mLateOrdersGrantAnew;
+
     /** How much longer than the shortest the longest task takes at speed 1, in milliseconds. */
     int mTaskRangeMillis = 800;
 
@@ -162,6 +166,7 @@
             case 5 -> partition(mLinksToEntry[entry.mIndex][sidecar.mIndex], durationMillis);
             case 6 -> {
                 mLateOrderProbability = 0.1;
+                mLateOrdersGrantAnew = durationMillis % 2 == 0;
                 after(durationMillis, () -> mLateOrderProbability = 0);
             }
             case 7 -> {
@@ -233,11 +238,14 @@
     /**
      * Executes an order after 1 ms, or sometimes after 2 s to 12 s, which is past its timeout.
      *
+     * @param order takes by how much the lease that it grants ends later, in milliseconds
      * @param unanswered runs 250 ms after the order timeout, also if the order was answered
      */
-    void execute(Runnable order, Runnable unanswered) {
+    void execute(LongConsumer order, Runnable unanswered) {
         boolean late = mLateOrderProbability > 0 && mRandom.nextDouble() < mLateOrderProbability;
-        after(late ? 2_000 + mRandom.nextInt(10_000) : 1, order);
+        long delayMillis = late ? 2_000 + mRandom.nextInt(10_000) : 1;
+        long leaseShiftMillis = late && mLateOrdersGrantAnew ? delayMillis : 0;
+        after(delayMillis, () -> order.accept(leaseShiftMillis));
         after(ORDER_TIMEOUT_MILLIS + 250, unanswered);
     }
 }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulationTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/PoolSimulationTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.function.Consumer;
 import org.testng.annotations.Test;
 
 /**
@@ -15,6 +16,9 @@
     private static final long FIRST_SEED = Long.getLong("pool.walk.seed", 1);
     private static final long SIMULATED_MILLIS = 30_000;
 
+    /** The share of orders that are late. */
+    private static final double MANY_LATE_ORDERS = 0.3;
+
     @Test
     public void completesNearlyAllJobsWithoutFaults() {
         PoolSimulation simulation = new PoolSimulation(1, PoolShape.small(4, 6));
@@ -27,10 +31,25 @@
 
     @Test
     public void neverRunsATaskTwiceOrOverloadsAWorkerUnderRandomFaults() {
+        walk(simulation -> {});
+    }
+
+    /** A late order grants its lease anew, as if it had been sent when it arrives. */
+    @Test
+    public void neverRunsATaskTwiceOrOverloadsAWorkerWhileManyOrdersAreLate() {
+        walk(simulation -> {
+            simulation.mLateOrdersGrantAnew = true;
+            simulation.mLateOrderProbability = MANY_LATE_ORDERS;
+        });
+    }
+
+    /** Plays the schedules of random faults, each on a new pool that is prepared first. */
+    private static void walk(Consumer<PoolSimulation> preparation) {
         int failures = 0;
         StringBuilder messages = new StringBuilder();
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
             PoolSimulation simulation = new PoolSimulation(seed, PoolShape.small(3, 4));
+            preparation.accept(simulation);
             try {
                 simulation.run(SIMULATED_MILLIS, true);
             } catch (AssertionError e) {
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/ShrunkTargetTest.java
@@ -118,7 +118,9 @@
         Demand free = new Demand(mCores - mUsedCores, 1_000, 0);
         mCore.handle(
                 new PoolEntryEvent.SidecarSent(
-                        SIDECAR, new PoolMessage.Room(free, true, mNow, mHandledStarts, List.of())),
+                        SIDECAR,
+                        new PoolMessage.Room(
+                                free, true, mNow, mHandledStarts, mHandledStarts, List.of())),
                 mNow);
         collectActions();
     }
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage;
@@ -244,8 +245,8 @@
     private void sendStartOrder(PoolSidecarAction.StartRun start) {
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
-        Runnable order =
-                () -> {
+        LongConsumer order =
+                leaseShiftMillis -> {
                     if (worker != mWorker) {
                         return;
                     }
@@ -258,7 +259,7 @@
                                     start.run().task(),
                                     start.run().run(),
                                     start.payload(),
-                                    start.leaseUntil(),
+                                    start.leaseUntil() + leaseShiftMillis,
                                     start.fencingToken(),
                                     mSimulation.mNow);
                     mSimulation.log(
@@ -301,7 +302,7 @@
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
         mSimulation.execute(
-                () -> {
+                leaseShiftMillis -> {
                     if (!workerAcceptsConnections() || mSimulation.mNow < mStopsLostUntil) {
                         onStopAnswered(sidecarIncarnation, stop, false);
                         return;
@@ -332,12 +333,17 @@
         WorkerModel worker = mWorker;
         boolean[] answered = {false};
         mSimulation.execute(
-                () -> {
+                leaseShiftMillis -> {
                     if (!workerAcceptsConnections()) {
                         answered[0] = true;
                         onPollAnswered(sidecarIncarnation, poll, new PollReply.Unreachable());
                         return;
                     }
+                    worker.poll(
+                            poll.leaseUntil().map(end -> end + leaseShiftMillis).orElse(0L),
+                            0,
+                            poll.fencingToken(),
+                            mSimulation.mNow);
                     long until = mSimulation.mNow + poll.waitMillis();
                     answerPollWhenDue(sidecarIncarnation, worker, poll, until, answered);
                 },
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/LateStartTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/LateStartTest.java
@@ -56,6 +56,24 @@
         assertEquals(reports(OWNER), List.of(new TaskReport(RUN, ReportKind.ENDED)));
     }
 
+    /** Its entry must not count the run as ended if the sidecar falls silent. */
+    @Test
+    public void tellsItsEntryUpToWhichRequestNoRunMayStartLater() {
+        order(RUN);
+        ping(OWNER);
+        mNow += PoolTiming.HEARTBEAT_INTERVAL_MILLIS;
+        ping(OWNER);
+        assertEquals(lastRoom(OWNER).settledStarts(), 0, "not answered");
+        handle(new PoolSidecarEvent.EntryLost(OWNER));
+        handle(new PoolSidecarEvent.EntryConnected(OWNER));
+        ping(OWNER);
+        assertEquals(lastRoom(OWNER).settledStarts(), -1, "requested on an earlier connection");
+        handle(new PoolSidecarEvent.StartAnswered(RUN, StartReply.STARTED));
+        mNow += PoolTiming.HEARTBEAT_INTERVAL_MILLIS;
+        ping(OWNER);
+        assertEquals(lastRoom(OWNER).settledStarts(), 0, "answered; nothing requested since");
+    }
+
     /** A target that has withdrawn its announcement ends, and with it all that it was ordered. */
     @Test
     public void endsTheRunWithTheLeaseIfTheTargetHasLeft() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/message/PoolMessage.java
@@ -131,6 +131,9 @@
      *     which the entry returns in {@link Start}
      * @param handledStarts the sequence number of the receiver's last {@link Start} that {@code
      *     free} takes into account
+     * @param settledStarts the sequence number of the receiver's last {@link Start} up to which no
+     *     run may start any more that has not started by now; -1 if one may that was requested on
+     *     an earlier connection
      * @param unsettledJobs the jobs that other entries than the receiver have runs of here which
      *     should have ended and may be active: the entry is lost, or a stop is not confirmed in
      *     time
@@ -140,16 +143,17 @@
             boolean serving,
             long clock,
             long handledStarts,
+            long settledStarts,
             List<String> unsettledJobs)
             implements PoolMessage {
         /** Returns the same state with other unsettled jobs. */
         public Room withUnsettledJobs(List<String> jobs) {
-            return new Room(free, serving, clock, handledStarts, jobs);
+            return new Room(free, serving, clock, handledStarts, settledStarts, jobs);
         }
 
-        /** Returns the same state with another number of the last start order. */
-        public Room withHandledStarts(long number) {
-            return new Room(free, serving, clock, number, unsettledJobs);
+        /** Returns the same state with other numbers of the last start orders. */
+        public Room withStarts(long handled, long settled) {
+            return new Room(free, serving, clock, handled, settled, unsettledJobs);
         }
     }
 
@@ -249,6 +253,12 @@
     /** Tells that no caller waits any more for the answer to a {@link HandOver}. */
     record HandOverCancellation(long number) implements PoolMessage {}
 
+    /**
+     * Lists the jobs that the sender has ended and of which a target may still start a run. The
+     * receiver must not start their tasks. Replaces the sender's earlier list.
+     */
+    record UnsettledJobs(List<String> jobs) implements PoolMessage {}
+
     /** Cancels a job if the receiving entry has it; its caller has asked another entry to. */
     record JobCancellation(String job) implements PoolMessage {}
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -24,6 +24,7 @@
     private final SidecarController mSidecars;
     private final PeerController mPeers;
     private final EvacuationController mEvacuations;
+    private final UnsettledJobsController mUnsettledJobs;
     private final WatchController mWatches;
 
     /**
@@ -51,6 +52,7 @@
         mTaken = new TakenJobs(mState);
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
         mEvacuations = new EvacuationController(mState, mPeers);
+        mUnsettledJobs = new UnsettledJobsController(mState, mPeers);
         mWatches = new WatchController(mState, placement, name);
     }
 
@@ -75,7 +77,10 @@
             }
             case PoolEntryEvent.SidecarLost lost -> mSidecars.onLost(lost.sidecar());
             case PoolEntryEvent.SidecarSent sent -> onSidecarSent(sent.sidecar(), sent.message());
-            case PoolEntryEvent.PeerConnected connected -> mPeers.onConnected(connected.peer());
+            case PoolEntryEvent.PeerConnected connected -> {
+                mPeers.onConnected(connected.peer());
+                mUnsettledJobs.onPeerConnected(connected.peer());
+            }
             case PoolEntryEvent.PeerLost lost -> {
                 mPeers.onLost(lost.peer());
                 mJobs.handOvers().onPeerLost(lost.peer());
@@ -95,6 +100,7 @@
                 mSidecars.onTick();
                 mPeers.onTick();
                 mJobs.onTick();
+                mUnsettledJobs.onTick();
                 mTaken.takeSilentSenders().forEach(this::abandonRequestsOf);
                 mState.mNextTickAt = mState.mNow + PoolTiming.IDLE_TICK_INTERVAL_MILLIS;
             }
@@ -220,6 +226,8 @@
                     mEvacuations.onPeerRevision(peer, hello.evacuationRevision());
             case PoolMessage.EvacuationPush push -> mEvacuations.onReceived(push, peer);
             case PoolMessage.JobCancellation cancellation -> mJobs.cancel(cancellation.job());
+            case PoolMessage.UnsettledJobs unsettled ->
+                    mState.mPeerUnsettledJobs.onReceived(peer, unsettled.jobs(), mState.mNow);
             case PoolMessage.HandOver handOver -> onHandOver(peer, handOver);
             case PoolMessage.HandOverCancellation cancellation ->
                     mTaken.find(peer, cancellation.number()).ifPresent(mJobs::onCallerLost);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryState.java
@@ -65,6 +65,9 @@
     /** The load that callers put on this entry. */
     EntryLoad mLoad = EntryLoad.UNKNOWN;
 
+    /** The jobs of which other entries tell that a target may still start a run. */
+    final PeerUnsettledJobs mPeerUnsettledJobs = new PeerUnsettledJobs();
+
     final EvacuationState mEvacuation = new EvacuationState();
     final ProcessTimeline mTimeline = new ProcessTimeline();
     final Quarantine mQuarantine = new Quarantine();
@@ -120,7 +123,10 @@
      * waits while the sidecar is not connected, and must be repeated on its next connection.
      */
     void requestStop(SidecarView sidecar, PlacedRun placed) {
-        placed.mStopRequested = true;
+        if (!placed.mStopRequested) {
+            placed.mStopRequested = true;
+            placed.mStopRequestedAt = mNow;
+        }
         mPendingStops
                 .computeIfAbsent(sidecar.node(), node -> new LinkedHashSet<>())
                 .add(placed.mRun);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolTiming.java
@@ -29,6 +29,12 @@
      */
     public static final long RENEWAL_SILENCE_MILLIS = 450;
 
+    /**
+     * An order to a target that got no answer may be carried out until it is this old; a target
+     * carries it out seconds later at most.
+     */
+    public static final long ORDER_EXPIRY_MILLIS = 30_000;
+
     /** The interval of heartbeats between entries. */
     public static final long PEER_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarController.java
@@ -267,7 +267,7 @@
                 onLost(sidecar.node());
             }
             if (!sidecar.mConnected && sidecar.silentMillis(mState.mNow) > mGoneAfterMillis) {
-                forget(sidecar, "silent", PoolEntryCounter.RUNS_SIDECAR_SILENT);
+                endRunsOfSilent(sidecar);
             } else if (sidecar.mConnected) {
                 mStallDetector.check(sidecar);
             }
@@ -292,6 +292,41 @@
         mLastTickAt = mState.mNow;
     }
 
+    /**
+     * Ends the runs of a sidecar that has been silent for long, but for those that its target may
+     * still start: only the sidecar, or a new process of it, tells what becomes of these. Removes
+     * the sidecar once none is left.
+     */
+    private void endRunsOfSilent(SidecarView sidecar) {
+        List<Run> kept =
+                sidecar.mPlacedRuns.values().stream()
+                        .filter(sidecar::mayStartLater)
+                        .map(placed -> placed.mRun)
+                        .toList();
+        boolean ordersExpired = sidecar.silentMillis(mState.mNow) > PoolTiming.ORDER_EXPIRY_MILLIS;
+        if (kept.isEmpty() || ordersExpired) {
+            forget(sidecar, "silent", PoolEntryCounter.RUNS_SIDECAR_SILENT);
+            return;
+        }
+        if (sidecar.markRunsKept()) {
+            EventLog.line(Event.RUN_KEPT)
+                    .with("sidecar", sidecar.node())
+                    .with("runs", kept)
+                    .write();
+        }
+        List<Run> ended =
+                sidecar.mPlacedRuns.keySet().stream().filter(run -> !kept.contains(run)).toList();
+        endRuns(sidecar, ended, PoolEntryCounter.RUNS_SIDECAR_SILENT);
+    }
+
+    /** Makes the tasks of runs wait again that count as ended. */
+    private void endRuns(SidecarView sidecar, List<Run> runs, PoolEntryCounter counter) {
+        for (Run run : runs) {
+            mState.count(counter);
+            mJobs.removeRun(sidecar, run).ifPresent(mJobs::requeue);
+        }
+    }
+
     /**
      * Removes a sidecar whose runs count as ended, and makes their tasks wait again.
      *
@@ -305,10 +340,7 @@
                 .with("silent_ms", sidecar.silentMillis(mState.mNow))
                 .with("runs", sidecar.mPlacedRuns.keySet())
                 .write();
-        for (Run run : List.copyOf(sidecar.mPlacedRuns.keySet())) {
-            mState.count(counter);
-            mJobs.removeRun(sidecar, run).ifPresent(mJobs::requeue);
-        }
+        endRuns(sidecar, List.copyOf(sidecar.mPlacedRuns.keySet()), counter);
         mState.mSidecars.remove(sidecar.node());
         mFailureRatios.remove(sidecar.node());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/SidecarView.java
@@ -91,6 +91,12 @@
     /** The number of the last start order on this connection; the first one has 1. */
     private long mLastStartNumber;
 
+    /** The number of the last start order of which no run may start later; -1 if not known. */
+    private long mSettledStarts = -1;
+
+    /** Whether it was logged that runs are kept, though the sidecar has been silent for long. */
+    private boolean mRunsKept;
+
     SidecarView(PoolMessage.Hello hello) {
         mHello = hello;
         mLargestCapacity = hello.capacity();
@@ -103,6 +109,9 @@
     void onConnected(long now) {
         mConnected = true;
         mWatched = false;
+        mPlacedRuns.values().forEach(this::moveToNewConnection);
+        mSettledStarts = -1;
+        mRunsKept = false;
         onHeard(now);
         mLastSentAt = 0;
         mLastStartNumber = 0;
@@ -112,6 +121,26 @@
         mServing = false;
     }
 
+    private void moveToNewConnection(PlacedRun placed) {
+        placed.mStartSettled = !mayStartLater(placed);
+        placed.mStartNumber = 0;
+    }
+
+    /**
+     * Returns whether the target may still start a run, as far as the sidecar has told: it has not
+     * said that the start was answered.
+     */
+    boolean mayStartLater(PlacedRun placed) {
+        return !placed.mStartSettled && placed.mStartNumber > mSettledStarts;
+    }
+
+    /** Records that runs are kept after a long silence; returns whether that is new. */
+    boolean markRunsKept() {
+        boolean marked = !mRunsKept;
+        mRunsKept = true;
+        return marked;
+    }
+
     /** Records that a message has arrived from the sidecar. */
     void onHeard(long now) {
         mLastHeardAt = now;
@@ -142,6 +171,7 @@
     /** Records that a run was placed; its start order must follow. */
     void addRun(PlacedRun placed, long now) {
         countSilenceFromNowIfIdle(now);
+        placed.mStartNumber = mLastStartNumber + 1;
         mPlacedRuns.put(placed.mRun, placed);
         reserve(placed.mTask.mStep.demand());
     }
@@ -178,6 +208,7 @@
         mReportedFree = room.free();
         mServing = room.serving();
         mSidecarClock = room.clock();
+        mSettledStarts = room.settledStarts();
         mUnacknowledgedDemand.keySet().removeIf(number -> number <= room.handledStarts());
         mUnsettledJobs.clear();
         mUnsettledJobs.addAll(room.unsettledJobs());
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/TaskDispatcher.java
@@ -104,10 +104,14 @@
                 .toList();
     }
 
-    /** Returns the jobs of which some sidecar has runs of other entries that should have ended. */
+    /**
+     * Returns the jobs of which some sidecar has runs of other entries that should have ended, or
+     * of which another entry tells that a target may still start a run.
+     */
     private Set<String> unsettledJobs() {
         Set<String> unsettled = new HashSet<>();
         mState.mSidecars.values().forEach(sidecar -> unsettled.addAll(sidecar.mUnsettledJobs));
+        mState.mPeerUnsettledJobs.addTo(unsettled, mState.mNow);
         return unsettled;
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/EntryView.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongUnaryOperator;
 import org.jackdawsaddle.config.Demand;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
@@ -167,10 +168,13 @@
      * Returns the messages to send now, which count as sent: the reports on the entry's runs, and
      * the free capacity if that is due. Reports always carry the free capacity with them.
      *
-     * @param room the state to report, without the number of the entry's start order
+     * @param room the state to report, without the numbers of the entry's start orders
+     * @param settledStarts returns the number of the last start order up to which no run may start
+     *     later, for that of the last one
      * @param ownsRuns whether the sidecar holds runs of the entry
      */
-    List<PoolMessage> takeUpdates(PoolMessage.Room room, boolean ownsRuns, long now) {
+    List<PoolMessage> takeUpdates(
+            PoolMessage.Room room, LongUnaryOperator settledStarts, boolean ownsRuns, long now) {
         if (!mConnected || !roomDue(room, ownsRuns, now)) {
             return List.of();
         }
@@ -179,7 +183,8 @@
             updates.add(new PoolMessage.TaskReports(List.copyOf(mPendingReports)));
             mPendingReports.clear();
         }
-        updates.add(room.withHandledStarts(mLastHandledStartNumber));
+        long settled = settledStarts.applyAsLong(mLastHandledStartNumber);
+        updates.add(room.withStarts(mLastHandledStartNumber, settled));
         mRoomSentAt = now;
         mReportedFree = room.free();
         mReportedServing = room.serving();
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -27,6 +27,12 @@
 
     final StartTask mStartTask;
 
+    /**
+     * The number of the entry's request to start the run, on its current connection; 0 if it was
+     * made on an earlier one.
+     */
+    long mStartNumber;
+
     /** The incarnation of the target that was ordered to start the run. */
     final TargetIncarnation mTarget;
 
@@ -69,8 +75,9 @@
      */
     long mStopExpiresAt = Long.MAX_VALUE;
 
-    HeldRun(NodeId owner, StartTask task, TargetIncarnation target) {
+    HeldRun(NodeId owner, long startNumber, StartTask task, TargetIncarnation target) {
         mOwner = owner;
+        mStartNumber = startNumber;
         mTarget = target;
         mStartTask = task;
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRuns.java
@@ -96,6 +96,25 @@
         return mOwners.get();
     }
 
+    /** Records that an entry has connected again: it numbers its requests anew. */
+    void onConnected(NodeId entry) {
+        mRuns.values().stream()
+                .filter(held -> held.mOwner.equals(entry))
+                .forEach(held -> held.mStartNumber = 0);
+    }
+
+    /**
+     * Returns the number of an entry's last request up to which no run may start later.
+     *
+     * @param handled the number of its last request
+     */
+    long settledStarts(NodeId entry, long handled) {
+        return mRuns.values().stream()
+                .filter(held -> held.mOwner.equals(entry) && held.mayStartLater())
+                .mapToLong(held -> held.mStartNumber - 1)
+                .reduce(handled, Math::min);
+    }
+
     /** Returns the ids of the jobs of runs that other entries own. */
     static List<String> jobsOfOthers(NodeId entry, List<HeldRun> runs) {
         if (runs.isEmpty()) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -106,10 +106,11 @@
         Set<NodeId> owners = mRuns.held().owners();
         List<HeldRun> unsettled =
                 mRuns.held().unsettled(entry -> mEntries.unsettled(entry, mNow), mNow);
-        PoolMessage.Room room = new PoolMessage.Room(free(), serving(), mNow, 0, List.of());
+        PoolMessage.Room room = new PoolMessage.Room(free(), serving(), mNow, 0, 0, List.of());
         mEntries.forEach((entry, view) ->
                 view.takeUpdates(
                                 room.withUnsettledJobs(HeldRuns.jobsOfOthers(entry, unsettled)),
+                                handled -> mRuns.held().settledStarts(entry, handled),
                                 owners.contains(entry),
                                 mNow)
                         .forEach(update ->
@@ -259,6 +260,7 @@
 
     private void onConnected(NodeId entry) {
         EntryView view = mEntries.connect(entry, mNow);
+        mRuns.held().onConnected(entry);
         mCrashedTasks.reports().forEach(view::addReport);
         target().ifPresent(target -> sendHello(entry, view, target));
     }
@@ -341,7 +343,7 @@
                 count(PoolSidecarCounter.STARTS_REFUSED);
                 report(entry, new TaskReport(task.run(), refusal.get()));
             } else {
-                mRuns.start(entry, task);
+                mRuns.start(entry, start.number(), task);
             }
         }
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -144,13 +144,18 @@
                 .forEach(held -> held.mConclusivePoll = mPolls.latest() + 2);
     }
 
-    void start(NodeId owner, StartTask task) {
+    /**
+     * Orders the target to start a run.
+     *
+     * @param startNumber the number of the owner's request
+     */
+    void start(NodeId owner, long startNumber, StartTask task) {
         TargetIncarnation target = mTarget.orElseThrow();
         mCounter.accept(PoolSidecarCounter.STARTS_ORDERED);
         if (mHeldRuns.isEmpty()) {
             mLiveness.recordHeard();
         }
-        mHeldRuns.add(new HeldRun(owner, task, target));
+        mHeldRuns.add(new HeldRun(owner, startNumber, task, target));
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/PoolMessageCodec.java
@@ -22,6 +22,7 @@
 import org.jackdawsaddle.internal.message.PoolMessage.Stop;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReports;
+import org.jackdawsaddle.internal.message.PoolMessage.UnsettledJobs;
 import org.jackdawsaddle.internal.message.PoolMessage.Welcome;
 import org.jackdawsaddle.internal.wire.proto.Wire;
 import org.jackdawsaddle.internal.wire.proto.Wire.Envelope;
@@ -43,6 +44,7 @@
                             .setServing(room.serving())
                             .setClock(room.clock())
                             .setHandledStarts(room.handledStarts())
+                            .setSettledStarts(room.settledStarts())
                             .addAllUnsettledJobs(room.unsettledJobs());
             case TaskReports reports ->
                     reports.reports()
@@ -81,6 +83,8 @@
                             .setText(push.text());
             case JobCancellation cancellation ->
                     envelope.getPoolJobCancellationBuilder().setJob(cancellation.job());
+            case UnsettledJobs unsettled ->
+                    envelope.getPoolUnsettledJobsBuilder().addAllJobs(unsettled.jobs());
             case EvacuationPush push ->
                     envelope.getPoolEvacuationPushBuilder()
                             .setRevision(push.evacuation().revision())
@@ -148,6 +152,8 @@
                             envelope.getPoolConfigurationPush().getText());
             case POOL_JOB_CANCELLATION ->
                     new JobCancellation(envelope.getPoolJobCancellation().getJob());
+            case POOL_UNSETTLED_JOBS ->
+                    new UnsettledJobs(List.copyOf(envelope.getPoolUnsettledJobs().getJobsList()));
             case POOL_EVACUATION_PUSH -> decode(envelope.getPoolEvacuationPush());
             default -> throw new IllegalArgumentException("Envelope contains no pool message");
         };
@@ -184,6 +190,7 @@
                 room.getServing(),
                 room.getClock(),
                 room.getHandledStarts(),
+                room.getSettledStarts(),
                 List.copyOf(room.getUnsettledJobsList()));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/proto/Wire.java
@@ -630,6 +630,21 @@
      */
     org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellationOrBuilder getPoolHandOverCancellationOrBuilder();
 
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     * @return Whether the poolUnsettledJobs field is set.
+     */
+    boolean hasPoolUnsettledJobs();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     * @return The poolUnsettledJobs.
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getPoolUnsettledJobs();
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     */
+    org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder getPoolUnsettledJobsOrBuilder();
+
     org.jackdawsaddle.internal.wire.proto.Wire.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -720,6 +735,7 @@
       POOL_HAND_OVER(39),
       POOL_HAND_OVER_ANSWER(40),
       POOL_HAND_OVER_CANCELLATION(41),
+      POOL_UNSETTLED_JOBS(42),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -777,6 +793,7 @@
           case 39: return POOL_HAND_OVER;
           case 40: return POOL_HAND_OVER_ANSWER;
           case 41: return POOL_HAND_OVER_CANCELLATION;
+          case 42: return POOL_UNSETTLED_JOBS;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2032,6 +2049,37 @@
       return org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation.getDefaultInstance();
     }
 
+    public static final int POOL_UNSETTLED_JOBS_FIELD_NUMBER = 42;
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     * @return Whether the poolUnsettledJobs field is set.
+     */
+    @java.lang.Override
+    public boolean hasPoolUnsettledJobs() {
+      return bodyCase_ == 42;
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     * @return The poolUnsettledJobs.
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getPoolUnsettledJobs() {
+      if (bodyCase_ == 42) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+    }
+    /**
+     * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+     */
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder getPoolUnsettledJobsOrBuilder() {
+      if (bodyCase_ == 42) {
+         return (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_;
+      }
+      return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2166,6 +2214,9 @@
       if (bodyCase_ == 41) {
         output.writeMessage(41, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_);
       }
+      if (bodyCase_ == 42) {
+        output.writeMessage(42, (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2334,6 +2385,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(41, (org.jackdawsaddle.internal.wire.proto.Wire.PoolHandOverCancellation) body_);
       }
+      if (bodyCase_ == 42) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(42, (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2521,6 +2576,10 @@
           if (!getPoolHandOverCancellation()
               .equals(other.getPoolHandOverCancellation())) return false;
           break;
+        case 42:
+          if (!getPoolUnsettledJobs()
+              .equals(other.getPoolUnsettledJobs())) return false;
+          break;
         case 0:
         default:
       }
@@ -2696,6 +2755,10 @@
           hash = (37 * hash) + POOL_HAND_OVER_CANCELLATION_FIELD_NUMBER;
           hash = (53 * hash) + getPoolHandOverCancellation().hashCode();
           break;
+        case 42:
+          hash = (37 * hash) + POOL_UNSETTLED_JOBS_FIELD_NUMBER;
+          hash = (53 * hash) + getPoolUnsettledJobs().hashCode();
+          break;
         case 0:
         default:
       }
@@ -2951,6 +3014,9 @@
         if (poolHandOverCancellationBuilder_ != null) {
           poolHandOverCancellationBuilder_.clear();
         }
+        if (poolUnsettledJobsBuilder_ != null) {
+          poolUnsettledJobsBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3157,6 +3223,10 @@
             poolHandOverCancellationBuilder_ != null) {
           result.body_ = poolHandOverCancellationBuilder_.build();
         }
+        if (bodyCase_ == 42 &&
+            poolUnsettledJobsBuilder_ != null) {
+          result.body_ = poolUnsettledJobsBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3332,6 +3402,10 @@
             mergePoolHandOverCancellation(other.getPoolHandOverCancellation());
             break;
           }
+          case POOL_UNSETTLED_JOBS: {
+            mergePoolUnsettledJobs(other.getPoolUnsettledJobs());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3640,6 +3714,13 @@
                 bodyCase_ = 41;
                 break;
               } // case 330
+              case 338: {
+                input.readMessage(
+                    internalGetPoolUnsettledJobsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 42;
+                break;
+              } // case 338
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9273,6 +9354,146 @@
         return poolHandOverCancellationBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder> poolUnsettledJobsBuilder_;
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       * @return Whether the poolUnsettledJobs field is set.
+       */
+      @java.lang.Override
+      public boolean hasPoolUnsettledJobs() {
+        return bodyCase_ == 42;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       * @return The poolUnsettledJobs.
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getPoolUnsettledJobs() {
+        if (poolUnsettledJobsBuilder_ == null) {
+          if (bodyCase_ == 42) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 42) {
+            return poolUnsettledJobsBuilder_.getMessage();
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      public Builder setPoolUnsettledJobs(org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs value) {
+        if (poolUnsettledJobsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          poolUnsettledJobsBuilder_.setMessage(value);
+        }
+        bodyCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      public Builder setPoolUnsettledJobs(
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder builderForValue) {
+        if (poolUnsettledJobsBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          poolUnsettledJobsBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      public Builder mergePoolUnsettledJobs(org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs value) {
+        if (poolUnsettledJobsBuilder_ == null) {
+          if (bodyCase_ == 42 &&
+              body_ != org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance()) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.newBuilder((org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 42) {
+            poolUnsettledJobsBuilder_.mergeFrom(value);
+          } else {
+            poolUnsettledJobsBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 42;
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      public Builder clearPoolUnsettledJobs() {
+        if (poolUnsettledJobsBuilder_ == null) {
+          if (bodyCase_ == 42) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 42) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          poolUnsettledJobsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder getPoolUnsettledJobsBuilder() {
+        return internalGetPoolUnsettledJobsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder getPoolUnsettledJobsOrBuilder() {
+        if ((bodyCase_ == 42) && (poolUnsettledJobsBuilder_ != null)) {
+          return poolUnsettledJobsBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 42) {
+            return (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_;
+          }
+          return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.org.jackdawsaddle.wire.PoolUnsettledJobs pool_unsettled_jobs = 42;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder> 
+          internalGetPoolUnsettledJobsFieldBuilder() {
+        if (poolUnsettledJobsBuilder_ == null) {
+          if (!(bodyCase_ == 42)) {
+            body_ = org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
+          }
+          poolUnsettledJobsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder>(
+                  (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 42;
+        onChanged();
+        return poolUnsettledJobsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.Envelope)
     }
 
@@ -35226,6 +35447,12 @@
      */
     com.google.protobuf.ByteString
         getUnsettledJobsBytes(int index);
+
+    /**
+     * <code>int64 settled_starts = 6;</code>
+     * @return The settledStarts.
+     */
+    long getSettledStarts();
   }
   /**
    * Protobuf type {@code org.jackdawsaddle.wire.PoolRoom}
@@ -35368,6 +35595,17 @@
       return unsettledJobs_.getByteString(index);
     }
 
+    public static final int SETTLED_STARTS_FIELD_NUMBER = 6;
+    private long settledStarts_ = 0L;
+    /**
+     * <code>int64 settled_starts = 6;</code>
+     * @return The settledStarts.
+     */
+    @java.lang.Override
+    public long getSettledStarts() {
+      return settledStarts_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -35397,6 +35635,9 @@
       for (int i = 0; i < unsettledJobs_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 5, unsettledJobs_.getRaw(i));
       }
+      if (settledStarts_ != 0L) {
+        output.writeInt64(6, settledStarts_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -35425,6 +35666,10 @@
         size += dataSize;
         size += 1 * getUnsettledJobsList().size();
       }
+      if (settledStarts_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(6, settledStarts_);
+      }
       return size;
     }
     @java.lang.Override
@@ -35462,6 +35707,8 @@
           != other.getHandledStarts()) return false;
       if (!getUnsettledJobsList()
           .equals(other.getUnsettledJobsList())) return false;
+      if (getSettledStarts()
+          != other.getSettledStarts()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -35490,6 +35737,9 @@
         hash = (37 * hash) + UNSETTLED_JOBS_FIELD_NUMBER;
         hash = (53 * hash) + getUnsettledJobsList().hashCode();
       }
+      hash = (37 * hash) + SETTLED_STARTS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSettledStarts());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -35637,6 +35887,7 @@
         handledStarts_ = 0L;
         unsettledJobs_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        settledStarts_ = 0L;
         return this;
       }
 
@@ -35690,6 +35941,9 @@
           unsettledJobs_.makeImmutable();
           result.unsettledJobs_ = unsettledJobs_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.settledStarts_ = settledStarts_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -35727,6 +35981,9 @@
           }
           onChanged();
         }
+        if (other.getSettledStarts() != 0L) {
+          setSettledStarts(other.getSettledStarts());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -35778,6 +36035,11 @@
                 unsettledJobs_.add(input.readStringRequireUtf8());
                 break;
               } // case 42
+              case 48: {
+                settledStarts_ = input.readInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -36121,6 +36383,38 @@
         return this;
       }
 
+      private long settledStarts_ ;
+      /**
+       * <code>int64 settled_starts = 6;</code>
+       * @return The settledStarts.
+       */
+      @java.lang.Override
+      public long getSettledStarts() {
+        return settledStarts_;
+      }
+      /**
+       * <code>int64 settled_starts = 6;</code>
+       * @param value The settledStarts to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSettledStarts(long value) {
+
+        settledStarts_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 settled_starts = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSettledStarts() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        settledStarts_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolRoom)
     }
 
@@ -49041,48 +49335,42 @@
 
   }
 
-  public interface PoolEvacuationPushOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolEvacuationPush)
+  public interface PoolUnsettledJobsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolUnsettledJobs)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    long getRevision();
-
-    /**
-     * <code>repeated string data_centres = 2;</code>
-     * @return A list containing the dataCentres.
+     * <code>repeated string jobs = 1;</code>
+     * @return A list containing the jobs.
      */
     java.util.List<java.lang.String>
-        getDataCentresList();
+        getJobsList();
     /**
-     * <code>repeated string data_centres = 2;</code>
-     * @return The count of dataCentres.
+     * <code>repeated string jobs = 1;</code>
+     * @return The count of jobs.
      */
-    int getDataCentresCount();
+    int getJobsCount();
     /**
-     * <code>repeated string data_centres = 2;</code>
+     * <code>repeated string jobs = 1;</code>
      * @param index The index of the element to return.
-     * @return The dataCentres at the given index.
+     * @return The jobs at the given index.
      */
-    java.lang.String getDataCentres(int index);
+    java.lang.String getJobs(int index);
     /**
-     * <code>repeated string data_centres = 2;</code>
+     * <code>repeated string jobs = 1;</code>
      * @param index The index of the value to return.
-     * @return The bytes of the dataCentres at the given index.
+     * @return The bytes of the jobs at the given index.
      */
     com.google.protobuf.ByteString
-        getDataCentresBytes(int index);
+        getJobsBytes(int index);
   }
   /**
-   * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolUnsettledJobs}
    */
-  public static final class PoolEvacuationPush extends
+  public static final class PoolUnsettledJobs extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
-      PoolEvacuationPushOrBuilder {
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolUnsettledJobs)
+      PoolUnsettledJobsOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -49091,81 +49379,70 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "PoolEvacuationPush");
+        "PoolUnsettledJobs");
     }
-    // Use PoolEvacuationPush.newBuilder() to construct.
-    private PoolEvacuationPush(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use PoolUnsettledJobs.newBuilder() to construct.
+    private PoolUnsettledJobs(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private PoolEvacuationPush() {
-      dataCentres_ =
+    private PoolUnsettledJobs() {
+      jobs_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
-    }
-
-    public static final int REVISION_FIELD_NUMBER = 1;
-    private long revision_ = 0L;
-    /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    @java.lang.Override
-    public long getRevision() {
-      return revision_;
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder.class);
     }
 
-    public static final int DATA_CENTRES_FIELD_NUMBER = 2;
+    public static final int JOBS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList dataCentres_ =
+    private com.google.protobuf.LazyStringArrayList jobs_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     /**
-     * <code>repeated string data_centres = 2;</code>
-     * @return A list containing the dataCentres.
+     * <code>repeated string jobs = 1;</code>
+     * @return A list containing the jobs.
      */
     public com.google.protobuf.ProtocolStringList
-        getDataCentresList() {
-      return dataCentres_;
+        getJobsList() {
+      return jobs_;
     }
     /**
-     * <code>repeated string data_centres = 2;</code>
-     * @return The count of dataCentres.
+     * <code>repeated string jobs = 1;</code>
+     * @return The count of jobs.
      */
-    public int getDataCentresCount() {
-      return dataCentres_.size();
+    public int getJobsCount() {
+      return jobs_.size();
     }
     /**
-     * <code>repeated string data_centres = 2;</code>
+     * <code>repeated string jobs = 1;</code>
      * @param index The index of the element to return.
-     * @return The dataCentres at the given index.
+     * @return The jobs at the given index.
      */
-    public java.lang.String getDataCentres(int index) {
-      return dataCentres_.get(index);
+    public java.lang.String getJobs(int index) {
+      return jobs_.get(index);
     }
     /**
-     * <code>repeated string data_centres = 2;</code>
+     * <code>repeated string jobs = 1;</code>
      * @param index The index of the value to return.
-     * @return The bytes of the dataCentres at the given index.
+     * @return The bytes of the jobs at the given index.
      */
     public com.google.protobuf.ByteString
-        getDataCentresBytes(int index) {
-      return dataCentres_.getByteString(index);
+        getJobsBytes(int index) {
+      return jobs_.getByteString(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -49182,27 +49459,20 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (revision_ != 0L) {
-        output.writeUInt64(1, revision_);
-      }
-      for (int i = 0; i < dataCentres_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, dataCentres_.getRaw(i));
+      for (int i = 0; i < jobs_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, jobs_.getRaw(i));
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, revision_);
-      }
       {
         int dataSize = 0;
-        for (int i = 0; i < dataCentres_.size(); i++) {
-          dataSize += computeStringSizeNoTag(dataCentres_.getRaw(i));
+        for (int i = 0; i < jobs_.size(); i++) {
+          dataSize += computeStringSizeNoTag(jobs_.getRaw(i));
         }
         size += dataSize;
-        size += 1 * getDataCentresList().size();
+        size += 1 * getJobsList().size();
       }
       return size;
     }
@@ -49223,15 +49493,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)) {
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs)) {
         return super.equals(obj);
       }
-      org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) obj;
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) obj;
 
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (!getDataCentresList()
-          .equals(other.getDataCentresList())) return false;
+      if (!getJobsList()
+          .equals(other.getJobsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -49243,56 +49511,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      if (getDataCentresCount() > 0) {
-        hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
-        hash = (53 * hash) + getDataCentresList().hashCode();
+      if (getJobsCount() > 0) {
+        hash = (37 * hash) + JOBS_FIELD_NUMBER;
+        hash = (53 * hash) + getJobsList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(byte[] data)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -49300,26 +49565,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(java.io.InputStream input)
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -49332,7 +49597,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush prototype) {
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -49348,26 +49613,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolUnsettledJobs}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder {
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolUnsettledJobs)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobsOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.Builder.class);
       }
 
-      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.newBuilder()
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.newBuilder()
       private Builder() {
 
       }
@@ -49381,8 +49646,7 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        revision_ = 0L;
-        dataCentres_ =
+        jobs_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
@@ -49390,17 +49654,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor;
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getDefaultInstanceForType() {
-        return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush build() {
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = buildPartial();
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -49408,46 +49672,658 @@
       }
 
       @java.lang.Override
-      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush buildPartial() {
-        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush(this);
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result) {
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.revision_ = revision_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          dataCentres_.makeImmutable();
-          result.dataCentres_ = dataCentres_;
+          jobs_.makeImmutable();
+          result.jobs_ = jobs_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) {
-          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)other);
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other) {
-        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance()) return this;
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
-        }
-        if (!other.dataCentres_.isEmpty()) {
-          if (dataCentres_.isEmpty()) {
-            dataCentres_ = other.dataCentres_;
-            bitField0_ |= 0x00000002;
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs.getDefaultInstance()) return this;
+        if (!other.jobs_.isEmpty()) {
+          if (jobs_.isEmpty()) {
+            jobs_ = other.jobs_;
+            bitField0_ |= 0x00000001;
           } else {
-            ensureDataCentresIsMutable();
-            dataCentres_.addAll(other.dataCentres_);
+            ensureJobsIsMutable();
+            jobs_.addAll(other.jobs_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                ensureJobsIsMutable();
+                jobs_.add(input.readStringRequireUtf8());
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.LazyStringArrayList jobs_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureJobsIsMutable() {
+        if (!jobs_.isModifiable()) {
+          jobs_ = new com.google.protobuf.LazyStringArrayList(jobs_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @return A list containing the jobs.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getJobsList() {
+        jobs_.makeImmutable();
+        return jobs_;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @return The count of jobs.
+       */
+      public int getJobsCount() {
+        return jobs_.size();
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param index The index of the element to return.
+       * @return The jobs at the given index.
+       */
+      public java.lang.String getJobs(int index) {
+        return jobs_.get(index);
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the jobs at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getJobsBytes(int index) {
+        return jobs_.getByteString(index);
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The jobs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setJobs(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureJobsIsMutable();
+        jobs_.set(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param value The jobs to add.
+       * @return This builder for chaining.
+       */
+      public Builder addJobs(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureJobsIsMutable();
+        jobs_.add(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param values The jobs to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllJobs(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureJobsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, jobs_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearJobs() {
+        jobs_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string jobs = 1;</code>
+       * @param value The bytes of the jobs to add.
+       * @return This builder for chaining.
+       */
+      public Builder addJobsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureJobsIsMutable();
+        jobs_.add(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:org.jackdawsaddle.wire.PoolUnsettledJobs)
+    }
+
+    // @@protoc_insertion_point(class_scope:org.jackdawsaddle.wire.PoolUnsettledJobs)
+    private static final org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs();
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PoolUnsettledJobs>
+        PARSER = new com.google.protobuf.AbstractParser<PoolUnsettledJobs>() {
+      @java.lang.Override
+      public PoolUnsettledJobs parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PoolUnsettledJobs> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PoolUnsettledJobs> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.jackdawsaddle.internal.wire.proto.Wire.PoolUnsettledJobs getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PoolEvacuationPushOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:org.jackdawsaddle.wire.PoolEvacuationPush)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return A list containing the dataCentres.
+     */
+    java.util.List<java.lang.String>
+        getDataCentresList();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return The count of dataCentres.
+     */
+    int getDataCentresCount();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the element to return.
+     * @return The dataCentres at the given index.
+     */
+    java.lang.String getDataCentres(int index);
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the dataCentres at the given index.
+     */
+    com.google.protobuf.ByteString
+        getDataCentresBytes(int index);
+  }
+  /**
+   * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+   */
+  public static final class PoolEvacuationPush extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
+      PoolEvacuationPushOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PoolEvacuationPush");
+    }
+    // Use PoolEvacuationPush.newBuilder() to construct.
+    private PoolEvacuationPush(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PoolEvacuationPush() {
+      dataCentres_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int DATA_CENTRES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList dataCentres_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return A list containing the dataCentres.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDataCentresList() {
+      return dataCentres_;
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @return The count of dataCentres.
+     */
+    public int getDataCentresCount() {
+      return dataCentres_.size();
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the element to return.
+     * @return The dataCentres at the given index.
+     */
+    public java.lang.String getDataCentres(int index) {
+      return dataCentres_.get(index);
+    }
+    /**
+     * <code>repeated string data_centres = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the dataCentres at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentresBytes(int index) {
+      return dataCentres_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      for (int i = 0; i < dataCentres_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, dataCentres_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < dataCentres_.size(); i++) {
+          dataSize += computeStringSizeNoTag(dataCentres_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getDataCentresList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)) {
+        return super.equals(obj);
+      }
+      org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other = (org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (!getDataCentresList()
+          .equals(other.getDataCentresList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      if (getDataCentresCount() > 0) {
+        hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
+        hash = (53 * hash) + getDataCentresList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code org.jackdawsaddle.wire.PoolEvacuationPush}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:org.jackdawsaddle.wire.PoolEvacuationPush)
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPushOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.class, org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.Builder.class);
+      }
+
+      // Construct using org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        dataCentres_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush getDefaultInstanceForType() {
+        return org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush build() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush buildPartial() {
+        org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result = new org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          dataCentres_.makeImmutable();
+          result.dataCentres_ = dataCentres_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush) {
+          return mergeFrom((org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush other) {
+        if (other == org.jackdawsaddle.internal.wire.proto.Wire.PoolEvacuationPush.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (!other.dataCentres_.isEmpty()) {
+          if (dataCentres_.isEmpty()) {
+            dataCentres_ = other.dataCentres_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureDataCentresIsMutable();
+            dataCentres_.addAll(other.dataCentres_);
           }
           onChanged();
         }
@@ -49961,6 +50837,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_jackdawsaddle_wire_PoolJobCancellation_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor;
   private static final 
@@ -49975,7 +50856,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\316\023\n" +
+      "\n\nwire.proto\022\026org.jackdawsaddle.wire\"\230\024\n" +
       "\010Envelope\022=\n\rsidecar_hello\030\001 \001(\0132$.org.j" +
       "ackdawsaddle.wire.SidecarHelloH\000\0222\n\007welc" +
       "ome\030\002 \001(\0132\037.org.jackdawsaddle.wire.Welco" +
@@ -50038,126 +50919,129 @@
       "\030( \001(\0132*.org.jackdawsaddle.wire.PoolHand" +
       "OverAnswerH\000\022W\n\033pool_hand_over_cancellat" +
       "ion\030) \001(\01320.org.jackdawsaddle.wire.PoolH" +
-      "andOverCancellationH\000B\006\n\004body\"+\n\006NodeId\022" +
-      "\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"0\n\rSu" +
-      "bmissionKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002" +
-      " \001(\006\"9\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_l" +
-      "ow\030\002 \001(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022\r\n\005cor" +
-      "es\030\001 \001(\001\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014ac" +
-      "celerators\030\003 \001(\r\"\223\002\n\014SidecarHello\022/\n\007sid" +
-      "ecar\030\001 \001(\0132\036.org.jackdawsaddle.wire.Node" +
-      "Id\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n\013d" +
-      "ata_centre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013conne" +
-      "ctions\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.org.jac" +
-      "kdawsaddle.wire.Demand\022\017\n\007serving\030\010 \001(\010\022" +
-      "\022\n\nstarted_at\030\t \001(\004\022\020\n\010revision\030\n \001(\004\022\017\n" +
-      "\007leaving\030\013 \001(\010\"Q\n\007Welcome\022-\n\005entry\030\001 \001(\013" +
-      "2\036.org.jackdawsaddle.wire.NodeId\022\027\n\017entr" +
-      "y_addresses\030\002 \003(\t\"\243\001\n\tStartTask\022-\n\004task\030" +
-      "\001 \001(\0132\037.org.jackdawsaddle.wire.TaskKey\022\014" +
-      "\n\004kind\030\002 \001(\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaini" +
-      "ng_millis\030\004 \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.ja" +
-      "ckdawsaddle.wire.Demand\"`\n\nStartTasks\022\021\n" +
-      "\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\0220\n\005tasks" +
-      "\030\003 \003(\0132!.org.jackdawsaddle.wire.StartTas" +
-      "k\"}\n\nTaskResult\022-\n\004task\030\001 \001(\0132\037.org.jack" +
-      "dawsaddle.wire.TaskKey\022\r\n\005state\030\002 \001(\r\022\014\n" +
-      "\004body\030\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022\n\nrun_micr" +
-      "os\030\005 \001(\004\"U\n\013TaskResults\022\021\n\tpartition\030\001 \001" +
-      "(\r\0223\n\007results\030\002 \003(\0132\".org.jackdawsaddle." +
-      "wire.TaskResult\"]\n\tStopTasks\022\021\n\tpartitio" +
-      "n\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tasks\030\003 \003(\0132\037." +
-      "org.jackdawsaddle.wire.TaskKey\"(\n\004Seal\022\021" +
-      "\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"\\\n\006Seal" +
-      "ed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\030\n\020" +
-      "newest_id_millis\030\003 \001(\004\022\026\n\016newest_renewal" +
-      "\030\004 \001(\004\"+\n\007Release\022\021\n\tpartition\030\001 \001(\r\022\r\n\005" +
-      "epoch\030\002 \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001" +
-      " \001(\r\022\r\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"A\n\014" +
-      "LeaseRenewed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch" +
-      "\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"w\n\007Inquiry\022\021\n\tpa" +
-      "rtition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006number\030\003" +
-      " \001(\004\022:\n\013submissions\030\004 \003(\0132%.org.jackdaws" +
-      "addle.wire.SubmissionKey\"e\n\rInquiryAnswe" +
-      "r\022\021\n\tpartition\030\001 \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005" +
-      "known\030\003 \003(\0132\".org.jackdawsaddle.wire.Tas" +
-      "kResult\"G\n\023TargetConfiguration\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r" +
-      "\"(\n\024ConfigurationApplied\022\020\n\010revision\030\001 \001" +
-      "(\004\"L\n\tPeerHello\022-\n\005entry\030\001 \001(\0132\036.org.jac" +
-      "kdawsaddle.wire.NodeId\022\020\n\010revision\030\002 \001(\004" +
-      "\"7\n\013TaskRequest\022\017\n\007payload\030\001 \001(\014\022\027\n\017expe" +
-      "cted_millis\030\002 \001(\004\"\227\001\n\nJobRequest\022\017\n\007id_h" +
-      "igh\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022" +
-      "\014\n\004kind\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\004\022" +
-      "2\n\005tasks\030\006 \003(\0132#.org.jackdawsaddle.wire." +
-      "TaskRequest\"O\n\tSubmitJob\022\r\n\005token\030\001 \001(\004\022" +
-      "3\n\007request\030\002 \001(\0132\".org.jackdawsaddle.wir" +
-      "e.JobRequest\"o\n\tJobAnswer\022\017\n\007outcome\030\001 \001" +
-      "(\r\022\014\n\004code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\017\n\007answ" +
-      "ers\030\004 \003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r\n\005tasks\030" +
-      "\006 \001(\r\"O\n\013JobAnswered\022\r\n\005token\030\001 \001(\004\0221\n\006a" +
-      "nswer\030\002 \001(\0132!.org.jackdawsaddle.wire.Job" +
-      "Answer\"K\n\010QueryJob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_" +
-      "high\030\002 \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007service\030\004 " +
-      "\001(\t\"=\n\tCancelJob\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_" +
-      "low\030\002 \001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010JobMoved\022\r" +
-      "\n\005token\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010revision\030\001" +
-      " \001(\004\"3\n\021ConfigurationPush\022\020\n\010revision\030\001 " +
-      "\001(\004\022\014\n\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n\005toke" +
-      "n\030\001 \001(\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 \001(\004\022\016" +
-      "\n\006status\030\002 \001(\t\"$\n\007PoolRun\022\014\n\004task\030\001 \001(\t\022" +
-      "\013\n\003run\030\002 \001(\005\"\360\001\n\tPoolHello\022/\n\007sidecar\030\001 " +
-      "\001(\0132\036.org.jackdawsaddle.wire.NodeId\022\023\n\013d" +
-      "ata_centre\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\017\n\007serv" +
-      "ice\030\004 \001(\t\0220\n\010capacity\030\005 \001(\0132\036.org.jackda" +
-      "wsaddle.wire.Demand\022\016\n\006labels\030\006 \003(\t\022\035\n\025c" +
-      "onfiguration_version\030\007 \001(\004\022\033\n\023evacuation" +
-      "_revision\030\010 \001(\004\"\210\001\n\010PoolRoom\022,\n\004free\030\001 \001" +
-      "(\0132\036.org.jackdawsaddle.wire.Demand\022\017\n\007se" +
-      "rving\030\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026\n\016handled_st" +
-      "arts\030\004 \001(\004\022\026\n\016unsettled_jobs\030\005 \003(\t\"[\n\016Po" +
-      "olTaskReport\022,\n\003run\030\001 \001(\0132\037.org.jackdaws" +
-      "addle.wire.PoolRun\022\014\n\004kind\030\002 \001(\005\022\r\n\005queu" +
-      "e\030\003 \001(\t\"J\n\017PoolTaskReports\0227\n\007reports\030\001 " +
-      "\003(\0132&.org.jackdawsaddle.wire.PoolTaskRep" +
-      "ort\"O\n\013PoolWelcome\022-\n\005entry\030\001 \001(\0132\036.org." +
-      "jackdawsaddle.wire.NodeId\022\021\n\taddresses\030\002" +
-      " \003(\t\"\215\001\n\rPoolStartTask\022,\n\003run\030\001 \001(\0132\037.or" +
-      "g.jackdawsaddle.wire.PoolRun\022\017\n\007payload\030" +
-      "\002 \001(\t\022.\n\006demand\030\003 \001(\0132\036.org.jackdawsaddl" +
-      "e.wire.Demand\022\r\n\005queue\030\004 \001(\t\"`\n\tPoolStar" +
-      "t\022\016\n\006number\030\001 \001(\004\022\r\n\005clock\030\002 \001(\004\0224\n\005task" +
-      "s\030\003 \003(\0132%.org.jackdawsaddle.wire.PoolSta" +
-      "rtTask\"9\n\010PoolStop\022-\n\004runs\030\001 \003(\0132\037.org.j" +
-      "ackdawsaddle.wire.PoolRun\";\n\nPoolResume\022" +
-      "-\n\004runs\030\001 \003(\0132\037.org.jackdawsaddle.wire.P" +
-      "oolRun\"\213\001\n\010PoolPing\022\035\n\025configuration_ver" +
-      "sion\030\001 \001(\004\022\020\n\010watching\030\002 \001(\010\022\033\n\023evacuati" +
-      "on_revision\030\003 \001(\004\022\027\n\017processor_cores\030\004 \001" +
-      "(\001\022\030\n\020tasks_per_second\030\005 \001(\001\"\213\001\n\rPoolPee" +
-      "rHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsaddl" +
-      "e.wire.NodeId\022\017\n\007address\030\002 \001(\t\022\035\n\025config" +
-      "uration_version\030\003 \001(\004\022\033\n\023evacuation_revi" +
-      "sion\030\004 \001(\004\" \n\013PoolMembers\022\021\n\taddresses\030\001" +
-      " \003(\t\"6\n\025PoolConfigurationPush\022\017\n\007version" +
-      "\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\272\001\n\010PoolStep\022\r\n\005tas" +
-      "ks\030\001 \001(\005\022.\n\006demand\030\002 \001(\0132\036.org.jackdawsa" +
-      "ddle.wire.Demand\022\027\n\017expected_millis\030\003 \001(" +
-      "\003\022\r\n\005after\030\004 \003(\005\022\026\n\016required_label\030\005 \001(\t" +
-      "\022\027\n\017preferred_label\030\006 \001(\t\022\026\n\016max_per_tar" +
-      "get\030\007 \001(\005\"\226\001\n\014PoolHandOver\022\016\n\006number\030\001 \001" +
-      "(\004\022\013\n\003job\030\002 \001(\t\022\r\n\005queue\030\003 \001(\t\022\017\n\007payloa" +
-      "d\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\003\022/\n\005ste" +
-      "ps\030\006 \003(\0132 .org.jackdawsaddle.wire.PoolSt" +
-      "ep\"[\n\022PoolHandOverAnswer\022\016\n\006number\030\001 \001(\004" +
-      "\022\017\n\007outcome\030\002 \001(\005\022\016\n\006reason\030\003 \001(\t\022\024\n\014ret" +
-      "ry_millis\030\004 \001(\003\"*\n\030PoolHandOverCancellat" +
-      "ion\022\016\n\006number\030\001 \001(\004\"\"\n\023PoolJobCancellati" +
-      "on\022\013\n\003job\030\001 \001(\t\"<\n\022PoolEvacuationPush\022\020\n" +
-      "\010revision\030\001 \001(\004\022\024\n\014data_centres\030\002 \003(\tB-\n" +
-      "%org.jackdawsaddle.internal.wire.protoB\004" +
-      "Wireb\006proto3"
+      "andOverCancellationH\000\022H\n\023pool_unsettled_" +
+      "jobs\030* \001(\0132).org.jackdawsaddle.wire.Pool" +
+      "UnsettledJobsH\000B\006\n\004body\"+\n\006NodeId\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"0\n\rSubmissi" +
+      "onKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001(\006\"9" +
+      "\n\007TaskKey\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 \001" +
+      "(\006\022\r\n\005index\030\003 \001(\r\"G\n\006Demand\022\r\n\005cores\030\001 \001" +
+      "(\001\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014accelera" +
+      "tors\030\003 \001(\r\"\223\002\n\014SidecarHello\022/\n\007sidecar\030\001" +
+      " \001(\0132\036.org.jackdawsaddle.wire.NodeId\022\016\n\006" +
+      "target\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n\013data_ce" +
+      "ntre\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\023\n\013connections" +
+      "\030\006 \001(\r\0220\n\010capacity\030\007 \001(\0132\036.org.jackdawsa" +
+      "ddle.wire.Demand\022\017\n\007serving\030\010 \001(\010\022\022\n\nsta" +
+      "rted_at\030\t \001(\004\022\020\n\010revision\030\n \001(\004\022\017\n\007leavi" +
+      "ng\030\013 \001(\010\"Q\n\007Welcome\022-\n\005entry\030\001 \001(\0132\036.org" +
+      ".jackdawsaddle.wire.NodeId\022\027\n\017entry_addr" +
+      "esses\030\002 \003(\t\"\243\001\n\tStartTask\022-\n\004task\030\001 \001(\0132" +
+      "\037.org.jackdawsaddle.wire.TaskKey\022\014\n\004kind" +
+      "\030\002 \001(\t\022\017\n\007payload\030\003 \001(\014\022\030\n\020remaining_mil" +
+      "lis\030\004 \001(\004\022.\n\006demand\030\005 \001(\0132\036.org.jackdaws" +
+      "addle.wire.Demand\"`\n\nStartTasks\022\021\n\tparti" +
+      "tion\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\0220\n\005tasks\030\003 \003(\013" +
+      "2!.org.jackdawsaddle.wire.StartTask\"}\n\nT" +
+      "askResult\022-\n\004task\030\001 \001(\0132\037.org.jackdawsad" +
+      "dle.wire.TaskKey\022\r\n\005state\030\002 \001(\r\022\014\n\004body\030" +
+      "\003 \001(\014\022\017\n\007refusal\030\004 \001(\r\022\022\n\nrun_micros\030\005 \001" +
+      "(\004\"U\n\013TaskResults\022\021\n\tpartition\030\001 \001(\r\0223\n\007" +
+      "results\030\002 \003(\0132\".org.jackdawsaddle.wire.T" +
+      "askResult\"]\n\tStopTasks\022\021\n\tpartition\030\001 \001(" +
+      "\r\022\r\n\005epoch\030\002 \001(\004\022.\n\005tasks\030\003 \003(\0132\037.org.ja" +
+      "ckdawsaddle.wire.TaskKey\"(\n\004Seal\022\021\n\tpart" +
+      "ition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\"\\\n\006Sealed\022\021\n\t" +
+      "partition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\030\n\020newest" +
+      "_id_millis\030\003 \001(\004\022\026\n\016newest_renewal\030\004 \001(\004" +
+      "\"+\n\007Release\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030" +
+      "\002 \001(\004\"?\n\nRenewLease\022\021\n\tpartition\030\001 \001(\r\022\r" +
+      "\n\005epoch\030\002 \001(\004\022\017\n\007sent_at\030\003 \001(\004\"A\n\014LeaseR" +
+      "enewed\022\021\n\tpartition\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004" +
+      "\022\017\n\007sent_at\030\003 \001(\004\"w\n\007Inquiry\022\021\n\tpartitio" +
+      "n\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\016\n\006number\030\003 \001(\004\022:" +
+      "\n\013submissions\030\004 \003(\0132%.org.jackdawsaddle." +
+      "wire.SubmissionKey\"e\n\rInquiryAnswer\022\021\n\tp" +
+      "artition\030\001 \001(\r\022\016\n\006number\030\002 \001(\004\0221\n\005known\030" +
+      "\003 \003(\0132\".org.jackdawsaddle.wire.TaskResul" +
+      "t\"G\n\023TargetConfiguration\022\020\n\010revision\030\001 \001" +
+      "(\004\022\017\n\007drained\030\002 \001(\010\022\r\n\005slots\030\003 \001(\r\"(\n\024Co" +
+      "nfigurationApplied\022\020\n\010revision\030\001 \001(\004\"L\n\t" +
+      "PeerHello\022-\n\005entry\030\001 \001(\0132\036.org.jackdawsa" +
+      "ddle.wire.NodeId\022\020\n\010revision\030\002 \001(\004\"7\n\013Ta" +
+      "skRequest\022\017\n\007payload\030\001 \001(\014\022\027\n\017expected_m" +
+      "illis\030\002 \001(\004\"\227\001\n\nJobRequest\022\017\n\007id_high\030\001 " +
+      "\001(\006\022\016\n\006id_low\030\002 \001(\006\022\014\n\004team\030\003 \001(\t\022\014\n\004kin" +
+      "d\030\004 \001(\t\022\030\n\020remaining_millis\030\005 \001(\004\0222\n\005tas" +
+      "ks\030\006 \003(\0132#.org.jackdawsaddle.wire.TaskRe" +
+      "quest\"O\n\tSubmitJob\022\r\n\005token\030\001 \001(\004\0223\n\007req" +
+      "uest\030\002 \001(\0132\".org.jackdawsaddle.wire.JobR" +
+      "equest\"o\n\tJobAnswer\022\017\n\007outcome\030\001 \001(\r\022\014\n\004" +
+      "code\030\002 \001(\t\022\016\n\006detail\030\003 \001(\t\022\017\n\007answers\030\004 " +
+      "\003(\014\022\023\n\013tasks_ended\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\"" +
+      "O\n\013JobAnswered\022\r\n\005token\030\001 \001(\004\0221\n\006answer\030" +
+      "\002 \001(\0132!.org.jackdawsaddle.wire.JobAnswer" +
+      "\"K\n\010QueryJob\022\r\n\005token\030\001 \001(\004\022\017\n\007id_high\030\002" +
+      " \001(\006\022\016\n\006id_low\030\003 \001(\006\022\017\n\007service\030\004 \001(\t\"=\n" +
+      "\tCancelJob\022\017\n\007id_high\030\001 \001(\006\022\016\n\006id_low\030\002 " +
+      "\001(\006\022\017\n\007service\030\003 \001(\t\"\031\n\010JobMoved\022\r\n\005toke" +
+      "n\030\001 \001(\004\"\035\n\tHeartbeat\022\020\n\010revision\030\001 \001(\004\"3" +
+      "\n\021ConfigurationPush\022\020\n\010revision\030\001 \001(\004\022\014\n" +
+      "\004head\030\002 \001(\t\"\034\n\013StatusQuery\022\r\n\005token\030\001 \001(" +
+      "\004\"-\n\014StatusAnswer\022\r\n\005token\030\001 \001(\004\022\016\n\006stat" +
+      "us\030\002 \001(\t\"$\n\007PoolRun\022\014\n\004task\030\001 \001(\t\022\013\n\003run" +
+      "\030\002 \001(\005\"\360\001\n\tPoolHello\022/\n\007sidecar\030\001 \001(\0132\036." +
+      "org.jackdawsaddle.wire.NodeId\022\023\n\013data_ce" +
+      "ntre\030\002 \001(\t\022\016\n\006target\030\003 \001(\t\022\017\n\007service\030\004 " +
+      "\001(\t\0220\n\010capacity\030\005 \001(\0132\036.org.jackdawsaddl" +
+      "e.wire.Demand\022\016\n\006labels\030\006 \003(\t\022\035\n\025configu" +
+      "ration_version\030\007 \001(\004\022\033\n\023evacuation_revis" +
+      "ion\030\010 \001(\004\"\240\001\n\010PoolRoom\022,\n\004free\030\001 \001(\0132\036.o" +
+      "rg.jackdawsaddle.wire.Demand\022\017\n\007serving\030" +
+      "\002 \001(\010\022\r\n\005clock\030\003 \001(\004\022\026\n\016handled_starts\030\004" +
+      " \001(\004\022\026\n\016unsettled_jobs\030\005 \003(\t\022\026\n\016settled_" +
+      "starts\030\006 \001(\003\"[\n\016PoolTaskReport\022,\n\003run\030\001 " +
+      "\001(\0132\037.org.jackdawsaddle.wire.PoolRun\022\014\n\004" +
+      "kind\030\002 \001(\005\022\r\n\005queue\030\003 \001(\t\"J\n\017PoolTaskRep" +
+      "orts\0227\n\007reports\030\001 \003(\0132&.org.jackdawsaddl" +
+      "e.wire.PoolTaskReport\"O\n\013PoolWelcome\022-\n\005" +
+      "entry\030\001 \001(\0132\036.org.jackdawsaddle.wire.Nod" +
+      "eId\022\021\n\taddresses\030\002 \003(\t\"\215\001\n\rPoolStartTask" +
+      "\022,\n\003run\030\001 \001(\0132\037.org.jackdawsaddle.wire.P" +
+      "oolRun\022\017\n\007payload\030\002 \001(\t\022.\n\006demand\030\003 \001(\0132" +
+      "\036.org.jackdawsaddle.wire.Demand\022\r\n\005queue" +
+      "\030\004 \001(\t\"`\n\tPoolStart\022\016\n\006number\030\001 \001(\004\022\r\n\005c" +
+      "lock\030\002 \001(\004\0224\n\005tasks\030\003 \003(\0132%.org.jackdaws" +
+      "addle.wire.PoolStartTask\"9\n\010PoolStop\022-\n\004" +
+      "runs\030\001 \003(\0132\037.org.jackdawsaddle.wire.Pool" +
+      "Run\";\n\nPoolResume\022-\n\004runs\030\001 \003(\0132\037.org.ja" +
+      "ckdawsaddle.wire.PoolRun\"\213\001\n\010PoolPing\022\035\n" +
+      "\025configuration_version\030\001 \001(\004\022\020\n\010watching" +
+      "\030\002 \001(\010\022\033\n\023evacuation_revision\030\003 \001(\004\022\027\n\017p" +
+      "rocessor_cores\030\004 \001(\001\022\030\n\020tasks_per_second" +
+      "\030\005 \001(\001\"\213\001\n\rPoolPeerHello\022-\n\005entry\030\001 \001(\0132" +
+      "\036.org.jackdawsaddle.wire.NodeId\022\017\n\007addre" +
+      "ss\030\002 \001(\t\022\035\n\025configuration_version\030\003 \001(\004\022" +
+      "\033\n\023evacuation_revision\030\004 \001(\004\" \n\013PoolMemb" +
+      "ers\022\021\n\taddresses\030\001 \003(\t\"6\n\025PoolConfigurat" +
+      "ionPush\022\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\272" +
+      "\001\n\010PoolStep\022\r\n\005tasks\030\001 \001(\005\022.\n\006demand\030\002 \001" +
+      "(\0132\036.org.jackdawsaddle.wire.Demand\022\027\n\017ex" +
+      "pected_millis\030\003 \001(\003\022\r\n\005after\030\004 \003(\005\022\026\n\016re" +
+      "quired_label\030\005 \001(\t\022\027\n\017preferred_label\030\006 " +
+      "\001(\t\022\026\n\016max_per_target\030\007 \001(\005\"\226\001\n\014PoolHand" +
+      "Over\022\016\n\006number\030\001 \001(\004\022\013\n\003job\030\002 \001(\t\022\r\n\005que" +
+      "ue\030\003 \001(\t\022\017\n\007payload\030\004 \001(\t\022\030\n\020remaining_m" +
+      "illis\030\005 \001(\003\022/\n\005steps\030\006 \003(\0132 .org.jackdaw" +
+      "saddle.wire.PoolStep\"[\n\022PoolHandOverAnsw" +
+      "er\022\016\n\006number\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\005\022\016\n\006r" +
+      "eason\030\003 \001(\t\022\024\n\014retry_millis\030\004 \001(\003\"*\n\030Poo" +
+      "lHandOverCancellation\022\016\n\006number\030\001 \001(\004\"\"\n" +
+      "\023PoolJobCancellation\022\013\n\003job\030\001 \001(\t\"!\n\021Poo" +
+      "lUnsettledJobs\022\014\n\004jobs\030\001 \003(\t\"<\n\022PoolEvac" +
+      "uationPush\022\020\n\010revision\030\001 \001(\004\022\024\n\014data_cen" +
+      "tres\030\002 \003(\tB-\n%org.jackdawsaddle.internal" +
+      ".wire.protoB\004Wireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -50168,7 +51052,7 @@
     internal_static_org_jackdawsaddle_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_Envelope_descriptor,
-        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "PoolJobCancellation", "PoolHandOver", "PoolHandOverAnswer", "PoolHandOverCancellation", "Body", });
+        new java.lang.String[] { "SidecarHello", "Welcome", "StartTasks", "TaskResults", "StopTasks", "Seal", "Sealed", "RenewLease", "LeaseRenewed", "Inquiry", "InquiryAnswer", "TargetConfiguration", "ConfigurationApplied", "PeerHello", "SubmitJob", "JobAnswered", "QueryJob", "CancelJob", "JobMoved", "Heartbeat", "ConfigurationPush", "StatusQuery", "StatusAnswer", "Release", "PoolHello", "PoolRoom", "PoolTaskReports", "PoolWelcome", "PoolStart", "PoolStop", "PoolResume", "PoolPing", "PoolPeerHello", "PoolMembers", "PoolConfigurationPush", "PoolEvacuationPush", "PoolJobCancellation", "PoolHandOver", "PoolHandOverAnswer", "PoolHandOverCancellation", "PoolUnsettledJobs", "Body", });
     internal_static_org_jackdawsaddle_wire_NodeId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_jackdawsaddle_wire_NodeId_fieldAccessorTable = new
@@ -50384,7 +51268,7 @@
     internal_static_org_jackdawsaddle_wire_PoolRoom_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolRoom_descriptor,
-        new java.lang.String[] { "Free", "Serving", "Clock", "HandledStarts", "UnsettledJobs", });
+        new java.lang.String[] { "Free", "Serving", "Clock", "HandledStarts", "UnsettledJobs", "SettledStarts", });
     internal_static_org_jackdawsaddle_wire_PoolTaskReport_descriptor =
       getDescriptor().getMessageType(37);
     internal_static_org_jackdawsaddle_wire_PoolTaskReport_fieldAccessorTable = new
@@ -50481,8 +51365,14 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolJobCancellation_descriptor,
         new java.lang.String[] { "Job", });
-    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
+    internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor =
       getDescriptor().getMessageType(53);
+    internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_jackdawsaddle_wire_PoolUnsettledJobs_descriptor,
+        new java.lang.String[] { "Jobs", });
+    internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor =
+      getDescriptor().getMessageType(54);
     internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_jackdawsaddle_wire_PoolEvacuationPush_descriptor,
