Notice that a caller has left after it has sent its next request

Cause: the entry reads from the connection while a request awaits its response, and ended that as soon as bytes of the next request had arrived.

Change: what arrives is kept for the server in order, and the connection is watched on, until more than 64 KiB are kept.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
@@ -31,6 +31,13 @@
     private static final String REQUEST =
             "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
 
+    private static final int LARGE_BODY_BYTES = 90_000;
+    private static final String LARGE_REQUEST =
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                    + LARGE_BODY_BYTES
+                    + "\r\n\r\n"
+                    + "b".repeat(LARGE_BODY_BYTES);
+
     /** A request that awaits its response, and whether its client had left when it was read. */
     private record Pending(
             HttpServerExchange exchange, CompletableFuture<Void> disconnected, boolean leftBefore) {
@@ -182,6 +189,63 @@
         awaitResponse();
     }
 
+    /** A client may pipeline its requests. */
+    @Test
+    public void noticesAResetConnectionOnWhichFurtherRequestsHaveArrived() throws Exception {
+        send(REQUEST);
+        Pending pending = nextRequest();
+        send(REQUEST + REQUEST);
+        Thread.sleep(UNNOTICED_MILLIS);
+        assertFalse(pending.disconnected().isDone());
+        reset();
+        pending.disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        pending.respond();
+    }
+
+    @Test
+    public void noticesAResetConnectionWhoseRequestsArrivedTogether() throws Exception {
+        send(REQUEST + REQUEST);
+        Pending pending = nextRequest();
+        Thread.sleep(UNNOTICED_MILLIS);
+        assertFalse(pending.disconnected().isDone());
+        reset();
+        pending.disconnected().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        pending.respond();
+    }
+
+    @Test
+    public void servesAllRequestsThatArriveInPiecesBeforeTheFirstResponse() throws Exception {
+        int requests = 40;
+        send(REQUEST);
+        Pending first = nextRequest();
+        for (int request = 1; request < requests; request++) {
+            send(REQUEST.substring(0, request));
+            Thread.sleep(1);
+            send(REQUEST.substring(request));
+        }
+        Thread.sleep(UNNOTICED_MILLIS);
+        first.respond();
+        awaitResponse();
+        for (int request = 1; request < requests; request++) {
+            nextRequest().respond();
+            awaitResponse();
+        }
+    }
+
+    /** What is kept of further requests is limited; the connection is then no longer watched. */
+    @Test
+    public void servesALargeRequestThatArrivesBeforeTheFirstResponse() throws Exception {
+        send(REQUEST);
+        Pending first = nextRequest();
+        send(LARGE_REQUEST);
+        Thread.sleep(UNNOTICED_MILLIS);
+        assertFalse(first.disconnected().isDone());
+        first.respond();
+        awaitResponse();
+        nextRequest().respond();
+        awaitResponse();
+    }
+
     private void send(String text) throws IOException {
         mClient.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/ClientDisconnects.java
@@ -3,7 +3,9 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
@@ -15,6 +17,12 @@
  * <p>All methods must be called on the I/O thread of the connection.
  */
 final class ClientDisconnects {
+    /** How much of further requests is kept on a connection while one awaits its response. */
+    private static final int MAX_KEPT_BYTES = 65_536;
+
+    /** The server reads the rest of a kept request into the same buffer. */
+    private static final int MIN_BUFFER_BYTES = 4_096;
+
     private final HttpServerConnection mConnection;
     private final StreamSourceConduit mSource;
     private final CompletableFuture<Void> mDisconnected = new CompletableFuture<>();
@@ -26,16 +34,15 @@
 
     /**
      * Watches the connection of a request whose body has been read, until the response is complete.
-     * A connection on which the client has already sent more is not watched: its next request would
-     * have to be read to get at the end of the connection.
+     * Further requests that the client sends meanwhile are kept for the server; the watch ends once
+     * they take more than {@link #MAX_KEPT_BYTES}.
      *
      * @return completes once the client has closed or reset the connection; is complete already if
      *     it did so before its request was read. A client that closes only its sending side, which
      *     HTTP clients do not, counts as gone.
      */
     static CompletableFuture<Void> watch(HttpServerExchange exchange) {
-        if (!(exchange.getConnection() instanceof HttpServerConnection connection)
-                || connection.getExtraBytes() != null) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
             return new CompletableFuture<>();
         }
         ClientDisconnects watch = new ClientDisconnects(connection);
@@ -60,9 +67,8 @@
 
     private void onRead(int count, PooledByteBuffer pooled) {
         if (count > 0) {
-            mSource.suspendReads();
             pooled.getBuffer().flip();
-            mConnection.ungetRequestBytes(pooled);
+            keep(pooled);
             return;
         }
         pooled.close();
@@ -71,6 +77,25 @@
         }
     }
 
+    /** Keeps bytes of further requests, after those that are kept already. */
+    private void keep(PooledByteBuffer received) {
+        PooledByteBuffer kept = mConnection.getExtraBytes();
+        mConnection.setExtraBytes(kept == null ? received : join(kept, received));
+        if (mConnection.getExtraBytes().getBuffer().remaining() > MAX_KEPT_BYTES) {
+            mSource.suspendReads();
+        }
+    }
+
+    private static PooledByteBuffer join(PooledByteBuffer first, PooledByteBuffer second) {
+        try (first;
+                second) {
+            int bytes = first.getBuffer().remaining() + second.getBuffer().remaining();
+            ByteBuffer joined = ByteBuffer.allocate(Math.max(bytes, MIN_BUFFER_BYTES));
+            joined.put(first.getBuffer()).put(second.getBuffer()).flip();
+            return new ImmediatePooledByteBuffer(joined);
+        }
+    }
+
     private void onDisconnected() {
         mSource.suspendReads();
         mDisconnected.complete(null);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/http/HttpExchanges.java
@@ -141,8 +141,8 @@
      *
      * @return completes on the I/O thread once the client has closed or reset the connection; is
      *     complete already if it did so before its request was read. A client that closes only its
-     *     sending side, which HTTP clients do not, counts as gone; one that pipelines requests is
-     *     not watched.
+     *     sending side, which HTTP clients do not, counts as gone; one that pipelines more than 64
+     *     KiB of requests is not watched.
      */
     public static CompletableFuture<Void> clientDisconnected(HttpServerExchange exchange) {
         return ClientDisconnects.watch(exchange);
