Tell entries of every change of a target's description

Cause: a target started again under its id as one of another kind. A poll found the new incarnation, of which entries were told with the old labels; its announcement, with the same capacity, was compared by capacity only.

Change: service, capacity and labels are compared, and entries told of any change.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/RestartedTargetTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/RestartedTargetTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
@@ -57,6 +59,18 @@
         assertTrue(mCore.serving());
     }
 
+    /** A target may start again as one of another kind, with the same capacity. */
+    @Test
+    public void tellsEntriesOfTheLabelsOfTheNewIncarnation() {
+        start(RUN);
+        answerPollAs(RESTARTED, RUN);
+        handle(new PoolSidecarEvent.TargetAnnounced(announced(RESTARTED, List.of("b"))));
+        assertEquals(lastHello(OTHER).labels(), List.of("b"));
+        mSent.clear();
+        handle(new PoolSidecarEvent.TargetAnnounced(announced(RESTARTED, List.of("b"))));
+        assertTrue(mSent.stream().noneMatch(RestartedTargetTest::isHello), "nothing has changed");
+    }
+
     @Test
     public void ignoresASnapshotOfAnEarlierIncarnation() {
         start(RUN);
@@ -66,7 +80,23 @@
         assertTrue(mCore.serving());
     }
 
+    private PoolMessage.Hello lastHello(NodeId entry) {
+        return mSent.stream()
+                .filter(send -> send.entry().equals(entry) && isHello(send))
+                .map(send -> (PoolMessage.Hello) send.message())
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
+    private static boolean isHello(PoolSidecarAction.SendToEntry send) {
+        return send.message() instanceof PoolMessage.Hello;
+    }
+
     private static TargetIncarnation announced(TargetIncarnation target) {
+        return announced(target, target.labels());
+    }
+
+    private static TargetIncarnation announced(TargetIncarnation target, List<String> labels) {
         return new TargetIncarnation(
                 target.id(),
                 target.startedAt(),
@@ -74,7 +104,7 @@
                 target.service(),
                 target.address(),
                 target.capacity(),
-                target.labels(),
+                labels,
                 false,
                 target.clock());
     }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -193,12 +193,13 @@
 
     private void onTargetChanged(Optional<TargetIncarnation> before, TargetIncarnation target) {
         boolean sameIncarnation = before.filter(target::sameIncarnation).isPresent();
-        boolean changed = !sameIncarnation || !before.get().capacity().equals(target.capacity());
+        boolean resized = sameIncarnation && !before.get().capacity().equals(target.capacity());
+        boolean changed = before.filter(target::sameDescription).isEmpty();
         mRuns.onTarget(target, sameIncarnation);
         if (changed) {
             mEntries.forEach((entry, view) -> sendHello(entry, view, target));
         }
-        if (changed && sameIncarnation) {
+        if (resized) {
             EventLog.line(Event.TARGET_RESIZED)
                     .with("target", target.id())
                     .with("capacity", target.capacity())
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/TargetIncarnation.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/TargetIncarnation.java
@@ -54,6 +54,17 @@
                 id, restartedAt, 0, service, address, capacity, labels, false, restartedClock);
     }
 
+    /**
+     * Returns whether both describe the same incarnation in the same way, as far as the placement
+     * of tasks depends on it.
+     */
+    public boolean sameDescription(TargetIncarnation other) {
+        return sameIncarnation(other)
+                && service.equals(other.service)
+                && capacity.equals(other.capacity)
+                && labels.equals(other.labels);
+    }
+
     /** Returns whether both describe the same incarnation. */
     public boolean sameIncarnation(TargetIncarnation other) {
         return id.equals(other.id) && startedAt == other.startedAt;
