Pass a cancelling on to entries that connect later

Cause: an entry that does not have the job told only the entries that were connected at that moment, once.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/PoolEntryCore.java
@@ -25,6 +25,7 @@
     private final PeerController mPeers;
     private final EvacuationController mEvacuations;
     private final UnsettledJobsController mUnsettledJobs;
+    private final CancellationController mCancellations;
     private final WatchController mWatches;
 
     /**
@@ -53,6 +54,7 @@
         mSidecars = new SidecarController(mState, mJobs, speeds, leaseMillis);
         mEvacuations = new EvacuationController(mState, mPeers);
         mUnsettledJobs = new UnsettledJobsController(mState, mPeers);
+        mCancellations = new CancellationController(mState, mPeers);
         mWatches = new WatchController(mState, placement, name);
     }
 
@@ -80,6 +82,7 @@
             case PoolEntryEvent.PeerConnected connected -> {
                 mPeers.onConnected(connected.peer());
                 mUnsettledJobs.onPeerConnected(connected.peer());
+                mCancellations.onPeerConnected(connected.peer());
             }
             case PoolEntryEvent.PeerLost lost -> {
                 mPeers.onLost(lost.peer());
@@ -214,7 +217,7 @@
     /** Cancels a job; asks the other entries to if it is not active here. */
     private void cancel(String id) {
         if (!mJobs.cancel(id)) {
-            mPeers.sendToAll(new PoolMessage.JobCancellation(id));
+            mCancellations.pass(id);
         }
     }
 
