Raise the fencing token that a target refuses as too low

Cause: the first fencing token of a sidecar is the time of day at its start, lower than that of its predecessor if the clock was set back. The target refuses all its polls, and these refusals counted as silence.

Change: a poll or start that is refused for its token raises it, by steps that double, until the target takes it. A sidecar serves only after an answered poll, so that orders of earlier processes are void by then. A start that is refused for its token counts as not started without the longer backoff.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/http/ClientDisconnectsTest.java
@@ -183,10 +183,7 @@
         send(REQUEST.substring(20));
         Thread.sleep(UNNOTICED_MILLIS);
         assertFalse(first.disconnected().isDone());
-        first.respond();
-        awaitResponse();
-        nextRequest().respond();
-        awaitResponse();
+        respondToBoth(first);
     }
 
     /** A client may pipeline its requests. */
@@ -240,6 +237,10 @@
         send(LARGE_REQUEST);
         Thread.sleep(UNNOTICED_MILLIS);
         assertFalse(first.disconnected().isDone());
+        respondToBoth(first);
+    }
+
+    private void respondToBoth(Pending first) throws Exception {
         first.respond();
         awaitResponse();
         nextRequest().respond();
--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCoreTestBase.java
@@ -34,6 +34,9 @@
     /** The end of the latest lease that a poll requested, on the target's clock. */
     long mLatestLeaseEnd;
 
+    /** The fencing token in the latest poll. */
+    long mLatestToken;
+
     final List<Run> mStops = new ArrayList<>();
     final List<TargetIncarnation> mSaved = new ArrayList<>();
     final List<PoolSidecarAction.SendToEntry> mSent = new ArrayList<>();
@@ -107,6 +110,7 @@
                 case PoolSidecarAction.Poll poll -> {
                     mLastPollNumber = poll.number();
                     mPolledTarget = poll.target();
+                    mLatestToken = poll.fencingToken();
                     mLatestLeaseEnd = Math.max(mLatestLeaseEnd, poll.leaseUntil().orElse(0L));
                 }
                 case PoolSidecarAction.StopRun stop -> mStops.add(stop.run());
--- a/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/PoolSidecarService.java
@@ -56,9 +56,9 @@
     private volatile boolean mIdle = true;
 
     /**
-     * Creates a sidecar; it runs after {@link #start}. Its fencing token is the time of its
-     * creation in milliseconds since the epoch, so that it is higher than that of an earlier
-     * process.
+     * Creates a sidecar; it runs after {@link #start}. Its first fencing token is the time of its
+     * creation in milliseconds since the epoch, which is higher than that of an earlier process
+     * unless the clock was set back.
      */
     public PoolSidecarService(
             PoolSidecarConfig config, TargetGateway gateway, TargetStore store, UnixClock clock) {
--- /dev/null
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that the standard library lacks. */
+package org.jackdawsaddle.internal.collection;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/log/Event.java
@@ -71,6 +71,8 @@
     TARGET_BARRED(10),
     /** A new incarnation of a target has been found. */
     TARGET_FOUND(10),
+    /** A target has refused the fencing token of its sidecar, which uses a higher one from now. */
+    TOKEN_RAISED(10),
     /** A target has announced another capacity while it runs. */
     TARGET_RESIZED(10),
     /** A target is unresponsive to its sidecar and gets no new tasks. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/CancellationController.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/CancellationController.java
@@ -1,8 +1,7 @@
 package org.jackdawsaddle.internal.pool;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import org.jackdawsaddle.NodeId;
+import org.jackdawsaddle.internal.collection.BoundedMap;
 import org.jackdawsaddle.internal.message.PoolMessage;
 
 /**
@@ -20,15 +19,7 @@
     private final PeerController mPeers;
 
     /** When each job was last cancelled, in milliseconds since the epoch; the oldest first. */
-    private final Map<String, Long> mCancelledAt =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-                    return size() > MAX_JOBS;
-                }
-            };
+    private final BoundedMap<String, Long> mCancelledAt = new BoundedMap<>(MAX_JOBS);
 
     CancellationController(PoolEntryState state, PeerController peers) {
         mState = state;
@@ -38,8 +29,7 @@
     /** Tells the other entries that a job is cancelled. */
     void pass(String job) {
         evictExpired();
-        mCancelledAt.remove(job);
-        mCancelledAt.put(job, mState.mNow);
+        mCancelledAt.putLast(job, mState.mNow);
         mPeers.sendToAll(new PoolMessage.JobCancellation(job));
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/CrashedTasks.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/CrashedTasks.java
@@ -1,8 +1,7 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import org.jackdawsaddle.internal.collection.BoundedMap;
 import org.jackdawsaddle.internal.message.PoolMessage.TaskReport;
 
 /**
@@ -16,20 +15,11 @@
     private record Crash(TaskReport report, long expiresAt) {}
 
     /** By task; the oldest are forgotten first. */
-    private final Map<String, Crash> mCrashes =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Crash> eldest) {
-                    return size() > MAX_TASKS;
-                }
-            };
+    private final BoundedMap<String, Crash> mCrashes = new BoundedMap<>(MAX_TASKS);
 
     void add(TaskReport report, long now) {
         String task = report.run().task();
-        mCrashes.remove(task);
-        mCrashes.put(task, new Crash(report, now + RETENTION_MILLIS));
+        mCrashes.putLast(task, new Crash(report, now + RETENTION_MILLIS));
     }
 
     boolean contains(String task) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/HeldRun.java
@@ -33,6 +33,9 @@
      */
     long mStartNumber;
 
+    /** The fencing token in the order to start the run. */
+    final long mFencingToken;
+
     /** The incarnation of the target that was ordered to start the run. */
     final TargetIncarnation mTarget;
 
@@ -75,8 +78,14 @@
      */
     long mStopExpiresAt = Long.MAX_VALUE;
 
-    HeldRun(NodeId owner, long startNumber, StartTask task, TargetIncarnation target) {
+    HeldRun(
+            NodeId owner,
+            long startNumber,
+            long fencingToken,
+            StartTask task,
+            TargetIncarnation target) {
         mOwner = owner;
+        mFencingToken = fencingToken;
         mStartNumber = startNumber;
         mTarget = target;
         mStartTask = task;
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -48,7 +48,8 @@
     /**
      * Creates the state of a sidecar without target and entries.
      *
-     * @param fencingToken must be higher than that of any earlier incarnation of this sidecar
+     * @param fencingToken should be higher than that of any earlier incarnation of this sidecar; it
+     *     is raised until the target accepts it
      * @param leaseMillis the longest lease that the target grants, in milliseconds
      */
     public PoolSidecarCore(NodeId self, String dataCentre, long fencingToken, long leaseMillis) {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -29,7 +29,7 @@
 
     private final List<PoolSidecarAction> mActions;
     private final Consumer<PoolSidecarCounter> mCounter;
-    private final long mFencingToken;
+    private final FencingToken mFencingToken;
     private final TargetLiveness mLiveness;
     private final Predicate<NodeId> mSilentEntries;
     private final HeldRuns mHeldRuns = new HeldRuns();
@@ -38,6 +38,10 @@
     private Optional<TargetIncarnation> mTarget = Optional.empty();
     private final PollSchedule mPolls = new PollSchedule();
     private boolean mReconciled;
+
+    /** The fencing token in the latest poll. */
+    private long mPolledToken;
+
     private long mNow;
 
     /**
@@ -57,7 +61,7 @@
         mEnds = new RunEnds(mHeldRuns, reporter, counter);
         mCounter = counter;
         mSilentEntries = silentEntries;
-        mFencingToken = fencingToken;
+        mFencingToken = new FencingToken(fencingToken);
         mLiveness = new TargetLiveness(leaseMillis);
     }
 
@@ -155,14 +159,14 @@
         if (mHeldRuns.isEmpty()) {
             mLiveness.recordHeard();
         }
-        mHeldRuns.add(new HeldRun(owner, startNumber, task, target));
+        mHeldRuns.add(new HeldRun(owner, startNumber, mFencingToken.value(), task, target));
         mActions.add(
                 new PoolSidecarAction.StartRun(
                         target,
                         task.run(),
                         task.payload(),
                         mLiveness.requestLeaseByStart(renewable()),
-                        mFencingToken));
+                        mFencingToken.value()));
     }
 
     void stop(NodeId owner, Run run) {
@@ -213,7 +217,7 @@
         mCounter.accept(PoolSidecarCounter.STOPS_ORDERED);
         mActions.add(
                 new PoolSidecarAction.StopRun(
-                        mTarget.orElseThrow(), held.mStartTask.run(), mFencingToken));
+                        mTarget.orElseThrow(), held.mStartTask.run(), mFencingToken.value()));
     }
 
     void onStartAnswered(Run run, StartReply reply) {
@@ -226,7 +230,12 @@
             case UNANSWERED -> onUnanswered(held);
             case OUTDATED -> onRefused(held, ReportKind.OUTDATED);
             case NO_ROOM -> onRefused(held, ReportKind.NO_ROOM);
-            case FENCED, REFUSED, UNREACHABLE -> {
+            case FENCED -> {
+                mFencingToken.onRefused(held.mFencingToken);
+                RunLog.line(Event.RUN_REFUSED, run).with("reason", reply).write();
+                onRefused(held, ReportKind.NOT_SERVING);
+            }
+            case REFUSED, UNREACHABLE -> {
                 RunLog.line(Event.RUN_REFUSED, run).with("reason", reply).write();
                 onRefused(held, ReportKind.REJECTED);
             }
@@ -283,6 +292,11 @@
                 mLiveness.recordUnreachable(target);
                 onPollFailed();
             }
+            case PollReply.Fenced fenced -> {
+                mFencingToken.onRefused(mPolledToken);
+                mLiveness.recordUnanswered(target, mPolls.elapsedMillis());
+                onPollFailed();
+            }
             case PollReply.Unanswered unanswered -> {
                 mLiveness.recordUnanswered(target, mPolls.elapsedMillis());
                 onPollFailed();
@@ -346,7 +360,8 @@
     private void stopUnknownRun(Run run) {
         mCounter.accept(PoolSidecarCounter.RUNS_OF_OTHERS);
         RunLog.stopped(run, "not ordered here");
-        mActions.add(new PoolSidecarAction.StopRun(mTarget.orElseThrow(), run, mFencingToken));
+        mActions.add(
+                new PoolSidecarAction.StopRun(mTarget.orElseThrow(), run, mFencingToken.value()));
     }
 
     void onTick() {
@@ -386,6 +401,7 @@
             return;
         }
         mPolls.onSent();
+        mPolledToken = mFencingToken.value();
         boolean renew = renewable() && !mLiveness.leaseMayHaveExpired();
         mActions.add(
                 new PoolSidecarAction.Poll(
@@ -394,7 +410,7 @@
                         renew ? Optional.of(mLiveness.requestLeaseByPoll()) : Optional.empty(),
                         mPolls.ackCursor(),
                         mHeldRuns.isEmpty() ? 0 : PollSchedule.WAIT_MILLIS,
-                        mFencingToken));
+                        mFencingToken.value()));
     }
 
     /** Returns whether all runs may go on for another lease. */
--- a/jackdawsaddle/src/org/jackdawsaddle/pool/TargetGateway.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/pool/TargetGateway.java
@@ -41,6 +41,9 @@
         /** The target has answered. */
         record Answered(RunSnapshot snapshot) implements PollReply {}
 
+        /** The fencing token is lower than one that the target has seen; the poll had no effect. */
+        record Fenced() implements PollReply {}
+
         /** No target accepts connections at the address. */
         record Unreachable() implements PollReply {}
 
