Take over only a recent announcement when a configuration arrives

Cause: the announcement of another service that a sidecar remembers had no age: a configuration that came minutes later could have put it in force, from a writer that was long gone.

Change: it times out as any announcement does.

--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/OddServiceTest.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/sidecar/OddServiceTest.java
@@ -18,6 +18,7 @@
  * start, took the place of the target for good.
  */
 public class OddServiceTest extends PoolSidecarCoreTestBase {
+    private static final long LONG_MILLIS = 60_000;
     private static final TargetIncarnation ODD =
             new TargetIncarnation(
                     "odd", 9, 1, "unnamed", "", TARGET.capacity(), List.of(), false, 0);
@@ -69,6 +70,18 @@
         assertTrue(mCore.serving());
     }
 
+    /** The configuration may change long after another writer has announced something. */
+    @Test
+    public void takesOverNoAnnouncementThatHasTimedOut() {
+        restartSidecar();
+        handle(new PoolSidecarEvent.TargetAnnounced(ODD));
+        handle(new PoolSidecarEvent.TargetAnnounced(TARGET));
+        mNow += LONG_MILLIS;
+        configure();
+        answerPoll();
+        assertFalse(mCore.serving());
+    }
+
     /** An earlier process has saved the odd target. */
     @Test
     public void returnsToItsTargetIfTheOddOneWasLoaded() {
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/KnownTarget.java
@@ -23,6 +23,9 @@
      */
     private Optional<TargetIncarnation> mRival = Optional.empty();
 
+    /** When that announcement times out, in milliseconds since the epoch. */
+    private long mRivalExpiresAt;
+
     /**
      * When the latest announcement of this incarnation times out, in milliseconds since the epoch;
      * 0 if there is none or the target withdrew it.
@@ -70,14 +73,16 @@
      * logged, unless only the known one is of a service that the configuration does not name.
      *
      * @param namesService whether the configuration names a service; false without a configuration
+     * @param now in milliseconds since the epoch
      */
-    boolean accepts(TargetIncarnation announced, Predicate<String> namesService) {
+    boolean accepts(TargetIncarnation announced, Predicate<String> namesService, long now) {
         if (mTarget.filter(known -> !known.service().equals(announced.service())).isEmpty()) {
             return !supersedes(announced);
         }
         boolean corrects = corrects(announced, namesService);
         if (!corrects) {
             mRival = Optional.of(announced);
+            mRivalExpiresAt = now + ANNOUNCEMENT_TIMEOUT_MILLIS;
             EventLog.line(Event.INPUT_UNREADABLE)
                     .with("input", "announcement")
                     .with("target", announced.id())
@@ -90,14 +95,15 @@
     }
 
     /**
-     * Returns the announcement that must replace the known target as a new configuration names only
-     * its service, and forgets it; empty if there is none.
+     * Returns the recent announcement that must replace the known target as a new configuration
+     * names only its service, and forgets it; empty if there is none.
      *
      * @param namesService whether the configuration names a service
+     * @param now in milliseconds since the epoch
      */
-    Optional<TargetIncarnation> takeCorrection(Predicate<String> namesService) {
+    Optional<TargetIncarnation> takeCorrection(Predicate<String> namesService, long now) {
         Optional<TargetIncarnation> correction =
-                mRival.filter(rival -> corrects(rival, namesService));
+                mRival.filter(rival -> now < mRivalExpiresAt && corrects(rival, namesService));
         if (correction.isPresent()) {
             mRival = Optional.empty();
         }
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -157,7 +157,7 @@
     }
 
     private void onAnnounced(TargetIncarnation target) {
-        if (mKnownTarget.accepts(target, mRelayed::namesService)) {
+        if (mKnownTarget.accepts(target, mRelayed::namesService, mNow)) {
             adopt(target);
         }
     }
@@ -181,7 +181,7 @@
                     .with("before", before)
                     .with("source", entry)
                     .write();
-            mKnownTarget.takeCorrection(mRelayed::namesService).ifPresent(this::adopt);
+            mKnownTarget.takeCorrection(mRelayed::namesService, mNow).ifPresent(this::adopt);
         }
     }
 
