--- a/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
+++ b/jackdawsaddle.test/tst/org/jackdawsaddle/internal/pool/SimulatedSidecar.java
@@ -82,9 +82,7 @@
     private void save(TargetIncarnation target) {
         boolean saved = mSimulation.mRandom.nextInt(4) > 0;
         int sidecarIncarnation = mIncarnation;
-        if (saved) {
-            mSavedTarget = Optional.of(target);
-        }
+        mSavedTarget = saved ? Optional.of(target) : mSavedTarget;
         mSimulation.after(
                 5,
                 () ->
@@ -246,7 +244,7 @@
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
         LongConsumer order =
-                leaseShiftMillis -> {
+                shiftMillis -> {
                     if (worker != mWorker) {
                         return;
                     }
@@ -259,7 +257,7 @@
                                     start.run().task(),
                                     start.run().run(),
                                     start.payload(),
-                                    start.leaseUntil() + leaseShiftMillis,
+                                    start.leaseUntil() + shiftMillis,
                                     start.fencingToken(),
                                     mSimulation.mNow);
                     mSimulation.log(
@@ -302,7 +300,7 @@
         int sidecarIncarnation = mIncarnation;
         WorkerModel worker = mWorker;
         mSimulation.execute(
-                leaseShiftMillis -> {
+                shiftMillis -> {
                     if (!workerAcceptsConnections() || mSimulation.mNow < mStopsLostUntil) {
                         onStopAnswered(sidecarIncarnation, stop, false);
                         return;
@@ -333,17 +331,14 @@
         WorkerModel worker = mWorker;
         boolean[] answered = {false};
         mSimulation.execute(
-                leaseShiftMillis -> {
+                shiftMillis -> {
                     if (!workerAcceptsConnections()) {
                         answered[0] = true;
                         onPollAnswered(sidecarIncarnation, poll, new PollReply.Unreachable());
                         return;
                     }
-                    worker.poll(
-                            poll.leaseUntil().map(end -> end + leaseShiftMillis).orElse(0L),
-                            0,
-                            poll.fencingToken(),
-                            mSimulation.mNow);
+                    long leaseUntil = poll.leaseUntil().map(end -> end + shiftMillis).orElse(0L);
+                    worker.poll(leaseUntil, 0, poll.fencingToken(), mSimulation.mNow);
                     long until = mSimulation.mNow + poll.waitMillis();
                     answerPollWhenDue(sidecarIncarnation, worker, poll, until, answered);
                 },
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/PoolSidecarCore.java
@@ -36,7 +36,7 @@
     private final KnownTarget mKnownTarget = new KnownTarget();
 
     private final RelayedState mRelayed = new RelayedState();
-    private final SavedTarget mSavedTarget = new SavedTarget();
+    private final SavedTarget mSavedTarget = new SavedTarget(mRelayed::contradicts);
 
     private boolean mLeaving;
 
@@ -173,14 +173,7 @@
      * targets of several services have been announced.
      */
     private void onConfiguration(NodeId entry, PoolMessage.ConfigurationPush push) {
-        long before = mRelayed.configurationVersion();
-        mRelayed.onConfiguration(push);
-        if (push.version() > before) {
-            EventLog.line(Event.CONFIGURATION_APPLIED)
-                    .with("version", push.version())
-                    .with("before", before)
-                    .with("source", entry)
-                    .write();
+        if (mRelayed.onConfiguration(entry, push)) {
             mKnownTarget.takeCorrection(mRelayed::namesService, mNow).ifPresent(this::adopt);
         }
     }
@@ -245,10 +238,8 @@
         }
     }
 
-    /** Saves the target, unless the configuration shows that it is that of another writer. */
     private void saveIfDue() {
-        target().filter(target -> !mRelayed.contradicts(target.service()))
-                .filter(target -> mSavedTarget.takeDue(target, mNow))
+        target().filter(target -> mSavedTarget.takeDue(target, mNow))
                 .ifPresent(target ->
                         mActions.add(new PoolSidecarAction.SaveTarget(target.withSequenceReset())));
     }
@@ -297,11 +288,13 @@
         view.onHeard(mNow);
         switch (message) {
             case PoolMessage.Start start -> onStart(entry, view, start);
-            case PoolMessage.Stop stop -> stop.runs().forEach(run -> mRuns.stop(entry, run));
+            case PoolMessage.Stop stop ->
+                    stop.runs().forEach(run -> mRuns.stops().stop(entry, run));
             case PoolMessage.Resume resume -> onResume(entry, resume.runs());
             case PoolMessage.Ping ping -> onPing(entry, view, ping);
             case PoolMessage.ConfigurationPush push -> onConfiguration(entry, push);
-            case PoolMessage.EvacuationPush push -> onEvacuation(entry, push);
+            case PoolMessage.EvacuationPush push ->
+                    mRelayed.onEvacuation(entry, push, mDataCentre, mRuns.held().runs().size());
             default ->
                     throw new IllegalArgumentException(
                             "Unexpected message from an entry: " + message);
@@ -310,7 +303,7 @@
 
     /** Reports the states of the runs that an entry knows of, and stops its other ones. */
     private void onResume(NodeId entry, List<Run> runs) {
-        mRuns.stopRunsOfExcept(entry, runs);
+        mRuns.stops().stopRunsOfExcept(entry, runs);
         runs.forEach(run -> report(entry, new TaskReport(run, mRuns.statusOf(run))));
     }
 
@@ -320,22 +313,6 @@
                 .forEach(push -> mActions.add(new PoolSidecarAction.SendToEntry(entry, push)));
     }
 
-    /**
-     * Takes over a newer evacuation; the next updates tell all entries if that changes anything.
-     */
-    private void onEvacuation(NodeId entry, PoolMessage.EvacuationPush push) {
-        boolean before = evacuated();
-        mRelayed.onEvacuation(push);
-        if (evacuated() != before) {
-            EventLog.line(Event.SIDECAR_EVACUATED)
-                    .with("evacuated", evacuated())
-                    .with("revision", push.evacuation().revision())
-                    .with("source", entry)
-                    .with("runs", mRuns.held().runs().size())
-                    .write();
-        }
-    }
-
     private void onStart(NodeId entry, EntryView view, PoolMessage.Start start) {
         view.onStart(start);
         boolean current = start.clock() >= mNow - PoolTiming.MAX_ORDER_AGE_MILLIS;
@@ -386,9 +363,7 @@
     /** Returns when the target's announcement times out or its incarnation must be saved. */
     private long targetDeadline(TargetIncarnation target) {
         long expiresAt = mKnownTarget.announcementExpiresAt(mNow);
-        return mRelayed.contradicts(target.service())
-                ? expiresAt
-                : Math.min(expiresAt, mSavedTarget.dueAt(target));
+        return Math.min(expiresAt, mSavedTarget.dueAt(target));
     }
 
     private void onTick() {
@@ -396,7 +371,7 @@
         Set<NodeId> owners = mRuns.held().owners();
         mEntries.markTimedOut(owners, mNow)
                 .forEach(entry -> mActions.add(new PoolSidecarAction.DisconnectEntry(entry)));
-        mRuns.stopRunsOf(owner -> mEntries.reconnectTimedOut(owner, mNow));
+        mRuns.stops().stopRunsOf(owner -> mEntries.reconnectTimedOut(owner, mNow));
         mEntries.evict(owners, mNow);
         mRuns.onTick();
         mCrashedTasks.evictExpired(mNow);
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RelayedState.java
@@ -5,7 +5,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jackdawsaddle.NodeId;
 import org.jackdawsaddle.internal.json.Json;
+import org.jackdawsaddle.internal.log.Event;
+import org.jackdawsaddle.internal.log.EventLog;
 import org.jackdawsaddle.internal.message.PoolMessage;
 import org.jackdawsaddle.internal.pool.evacuation.EvacuationState;
 import org.jackdawsaddle.pool.PoolConfiguration;
@@ -22,15 +25,40 @@
     /** The services that the configuration names; empty until they are asked for. */
     private Optional<Set<String>> mServices = Optional.empty();
 
-    void onConfiguration(PoolMessage.ConfigurationPush push) {
-        if (push.version() > configurationVersion()) {
-            mConfiguration = Optional.of(push);
-            mServices = Optional.empty();
+    /** Takes over a configuration if it is newer; returns whether it is. */
+    boolean onConfiguration(NodeId source, PoolMessage.ConfigurationPush push) {
+        long before = configurationVersion();
+        if (push.version() <= before) {
+            return false;
         }
+        mConfiguration = Optional.of(push);
+        mServices = Optional.empty();
+        EventLog.line(Event.CONFIGURATION_APPLIED)
+                .with("version", push.version())
+                .with("before", before)
+                .with("source", source)
+                .write();
+        return true;
     }
 
-    void onEvacuation(PoolMessage.EvacuationPush push) {
+    /**
+     * Takes over an evacuation if it is newer, and logs whether it changes anything for a data
+     * centre.
+     *
+     * @param activeRuns how many runs its target has, for the log
+     */
+    void onEvacuation(
+            NodeId source, PoolMessage.EvacuationPush push, String dataCentre, int activeRuns) {
+        boolean before = evacuated(dataCentre);
         mEvacuation.onReceived(push.evacuation());
+        if (evacuated(dataCentre) != before) {
+            EventLog.line(Event.SIDECAR_EVACUATED)
+                    .with("evacuated", !before)
+                    .with("revision", push.evacuation().revision())
+                    .with("source", source)
+                    .with("runs", activeRuns)
+                    .write();
+        }
     }
 
     /** Returns the version of the configuration; 0 if there is none. */
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/RunTable.java
@@ -12,7 +12,6 @@
 import org.jackdawsaddle.internal.message.PoolMessage.ReportKind;
 import org.jackdawsaddle.internal.message.PoolMessage.Run;
 import org.jackdawsaddle.internal.message.PoolMessage.StartTask;
-import org.jackdawsaddle.internal.pool.PoolTiming;
 import org.jackdawsaddle.pool.RunSnapshot;
 import org.jackdawsaddle.pool.TargetGateway.PollReply;
 import org.jackdawsaddle.pool.TargetGateway.StartReply;
@@ -25,8 +24,6 @@
  * well, unless the target may still start it, see {@link HeldRun#mayStartLater}.
  */
 final class RunTable {
-    private static final long STOP_RETRY_MILLIS = 100;
-
     private final List<PoolSidecarAction> mActions;
     private final Consumer<PoolSidecarCounter> mCounter;
     private final FencingToken mFencingToken;
@@ -34,6 +31,7 @@
     private final Predicate<NodeId> mSilentEntries;
     private final HeldRuns mHeldRuns = new HeldRuns();
     private final RunEnds mEnds;
+    private final StopOrders mStops;
 
     private Optional<TargetIncarnation> mTarget = Optional.empty();
     private final PollSchedule mPolls = new PollSchedule();
@@ -63,12 +61,16 @@
         mSilentEntries = silentEntries;
         mFencingToken = new FencingToken(fencingToken);
         mLiveness = new TargetLiveness(leaseMillis);
+        mStops =
+                new StopOrders(
+                        mHeldRuns, actions, counter, mFencingToken, () -> mTarget.orElseThrow());
     }
 
     void advanceTo(long now) {
         mNow = now;
         mLiveness.advanceTo(now);
         mPolls.advanceTo(now);
+        mStops.advanceTo(now);
     }
 
     /** Returns whether no run is left and a poll that acknowledges all ended runs was sent. */
@@ -94,6 +96,11 @@
         return mHeldRuns;
     }
 
+    /** Returns what stops the runs. */
+    StopOrders stops() {
+        return mStops;
+    }
+
     /** Returns the state of a run; {@code NOT_SERVING} if there is no record of it. */
     ReportKind statusOf(Run run) {
         return mHeldRuns.contains(run)
@@ -169,57 +176,6 @@
                         mFencingToken.value()));
     }
 
-    void stop(NodeId owner, Run run) {
-        HeldRun held = mHeldRuns.get(run);
-        if (held != null && held.mOwner.equals(owner)) {
-            stop(held);
-        }
-    }
-
-    /**
-     * Stops the runs of lost entries. The lease is not renewed until they have ended, so that they
-     * end even if the target does not carry out the stops.
-     */
-    void stopRunsOf(Predicate<NodeId> owners) {
-        for (HeldRun held : mHeldRuns.values()) {
-            held.mOrphaned = held.mOrphaned || owners.test(held.mOwner);
-            if (held.mOrphaned && held.mState != HeldRun.State.STOPPING) {
-                mCounter.accept(PoolSidecarCounter.RUNS_ORPHANED);
-                RunLog.stopped(held.mStartTask.run(), "entry lost: " + held.mOwner);
-                stop(held);
-            }
-        }
-    }
-
-    /** Stops the runs of an entry that it does not know of any more: it counts them as ended. */
-    void stopRunsOfExcept(NodeId owner, List<Run> known) {
-        for (HeldRun held : mHeldRuns.values()) {
-            Run run = held.mStartTask.run();
-            if (held.mOwner.equals(owner) && !known.contains(run)) {
-                RunLog.stopped(run, "unknown to its entry: " + owner);
-                stop(held);
-            }
-        }
-    }
-
-    private void stop(HeldRun held) {
-        if (held.mState != HeldRun.State.STOPPING) {
-            held.mState = HeldRun.State.STOPPING;
-            held.mStopExpiresAt = mNow + PoolTiming.STOP_TIMEOUT_MILLIS;
-            held.mConclusivePoll = Long.MAX_VALUE;
-            sendStopOrder(held);
-        }
-    }
-
-    private void sendStopOrder(HeldRun held) {
-        held.mStopInFlight = true;
-        held.mStopDueAt = mNow + STOP_RETRY_MILLIS;
-        mCounter.accept(PoolSidecarCounter.STOPS_ORDERED);
-        mActions.add(
-                new PoolSidecarAction.StopRun(
-                        mTarget.orElseThrow(), held.mStartTask.run(), mFencingToken.value()));
-    }
-
     void onStartAnswered(Run run, StartReply reply) {
         HeldRun held = mHeldRuns.get(run);
         if (held == null) {
@@ -261,7 +217,7 @@
             onStarted(held);
         } else {
             RunLog.line(Event.RUN_UNANSWERED, held.mStartTask.run()).write();
-            stop(held);
+            mStops.stop(held);
         }
     }
 
@@ -325,7 +281,7 @@
                 snapshot.running().stream().map(run -> new Run(run.task(), run.run())).toList();
         running.stream().map(mHeldRuns::get).filter(Objects::nonNull).forEach(HeldRun::markStarted);
         List<Run> unknown = running.stream().filter(run -> !mHeldRuns.contains(run)).toList();
-        unknown.forEach(this::stopUnknownRun);
+        unknown.forEach(mStops::stopUnknown);
         mReconciled = unknown.isEmpty();
         if (!mReconciled) {
             mPolls.retryLater();
@@ -356,20 +312,8 @@
         }
     }
 
-    /** Stops a run of an earlier sidecar process, or one that started after it counted as ended. */
-    private void stopUnknownRun(Run run) {
-        mCounter.accept(PoolSidecarCounter.RUNS_OF_OTHERS);
-        RunLog.stopped(run, "not ordered here");
-        mActions.add(
-                new PoolSidecarAction.StopRun(mTarget.orElseThrow(), run, mFencingToken.value()));
-    }
-
     void onTick() {
-        for (HeldRun held : mHeldRuns.values()) {
-            if (mNow >= held.stopDueAt()) {
-                sendStopOrder(held);
-            }
-        }
+        mStops.repeatDue();
         endRunsIfLeaseHasExpired();
     }
 
--- a/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/SavedTarget.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/pool/sidecar/SavedTarget.java
@@ -1,6 +1,7 @@
 package org.jackdawsaddle.internal.pool.sidecar;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.jackdawsaddle.pool.TargetIncarnation;
 
 /** Decides when the incarnation of a sidecar's target must be saved in the store. */
@@ -14,6 +15,19 @@
     /** Before this time no attempt is made. */
     private long mAttemptDueAt;
 
+    /** Whether the configuration shows that a service is that of another writer. */
+    private final Predicate<String> mContradicted;
+
+    /**
+     * Creates a record of nothing.
+     *
+     * @param contradicted whether the configuration shows that a service is that of another writer,
+     *     so that its target must not be saved
+     */
+    SavedTarget(Predicate<String> contradicted) {
+        mContradicted = contradicted;
+    }
+
     /** Records what the store holds. */
     void onSaved(TargetIncarnation target) {
         mSaved = Optional.of(target);
@@ -25,10 +39,11 @@
 
     /**
      * Returns when the target must be saved, in milliseconds since the epoch; {@code
-     * Long.MAX_VALUE} if it already is.
+     * Long.MAX_VALUE} if it already is or must not be.
      */
     long dueAt(TargetIncarnation target) {
-        return mSaved.filter(target::sameIncarnation).isPresent() ? Long.MAX_VALUE : mAttemptDueAt;
+        boolean saved = mSaved.filter(target::sameIncarnation).isPresent();
+        return saved || mContradicted.test(target.service()) ? Long.MAX_VALUE : mAttemptDueAt;
     }
 
     /** Returns whether the target must be saved now; another attempt is then due later. */
