Decode the list of unsettled jobs as a message of a pool

Cause: WireCodec did not name the new kind of message, and took it for an answer between entries of partitions, which a pool ignores: entries told each other of unsettled jobs in vain since, between real processes.

--- a/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
+++ b/jackdawsaddle/src/org/jackdawsaddle/internal/wire/WireCodec.java
@@ -76,6 +76,7 @@
                     POOL_CONFIGURATION_PUSH,
                     POOL_EVACUATION_PUSH,
                     POOL_JOB_CANCELLATION,
+                    POOL_UNSETTLED_JOBS,
                     POOL_HAND_OVER,
                     POOL_HAND_OVER_ANSWER,
                     POOL_HAND_OVER_CANCELLATION ->
